--- a/availability/function.go
+++ b/availability/function.go
@@ -102,7 +102,7 @@
 // times returns the sample times of both functions in order, with their
 // crossings.
 func times(f, g *Function) []int64 {
-	var at []int64
+	at := make([]int64, 0, 2*(len(f.Samples)+len(g.Samples)))
 	i, j := 0, 0
 	for i < len(f.Samples) || j < len(g.Samples) {
 		var t int64
@@ -207,8 +207,7 @@
 // excess is the paper's distance in time between f and a lower function h: the
 // integral of ((f−h)/(δ−now+1))² up to horizon, in seconds.
 func excess(f, h *Function, now, horizon int64) float64 {
-	at := append([]int64{now}, times(f, h)...)
-	at = append(at, horizon)
+	at := append(times(f, h), horizon)
 	sum := 0.0
 	prev := now
 	for _, t := range at {
--- a/availability/queue.go
+++ b/availability/queue.go
@@ -24,6 +24,13 @@
 type Queue struct {
 	Base    int64
 	entries []Entry
+	work    int64 // of all entries
+}
+
+// Reset empties the queue for another round with another base. It keeps its
+// memory: a planner that fills a thousand queues a second makes no garbage.
+func (q *Queue) Reset(base int64) {
+	q.Base, q.entries, q.work = base, q.entries[:0], 0
 }
 
 // Entries returns the admitted entries in the order in which they would run.
@@ -31,13 +38,7 @@
 func (q *Queue) Entries() []Entry { return q.entries }
 
 // End is when the last admitted task would end.
-func (q *Queue) End() int64 {
-	t := q.Base
-	for _, e := range q.entries {
-		t += e.work()
-	}
-	return t
-}
+func (q *Queue) End() int64 { return q.Base + q.work }
 
 // place is where a task with this deadline would be inserted: behind every
 // entry with the same or an earlier deadline.
@@ -68,6 +69,9 @@
 // Available is l(δ) = min(δ, x) − e: how long the queue can work for a new
 // task that must end by deadline, with every admitted deadline kept.
 func (q *Queue) Available(deadline int64) int64 {
+	if n := len(q.entries); n == 0 || q.entries[n-1].Deadline <= deadline {
+		return max(0, deadline-q.End()) // nothing stands behind it
+	}
 	e, x, ok := q.window(deadline)
 	end := deadline
 	if ok && x < end {
@@ -90,6 +94,7 @@
 	q.entries = append(q.entries, Entry{})
 	copy(q.entries[k+1:], q.entries[k:])
 	q.entries[k] = Entry{Deadline: deadline, Length: length, Count: n}
+	q.work += n * length
 	return n
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,7 @@
 	p := scheduler.Params{
 		Member: f.Member, Zone: f.Zone, Teams: map[string]scheduler.Team{}, Objectives: map[string][]scheduler.Objective{},
 		ReportS: f.Cluster.Workers.ReportS, LeaseS: f.Cluster.Workers.LeaseS, CancelS: f.Cluster.Workers.CancelS,
-		ValueBytes: int(f.Cluster.State.ValueKB * 1024), TxnOps: f.Cluster.State.TxnOps, ListLagS: f.Cluster.Cloud.ListLagS,
+		CPUShare: f.Cluster.Limits.CPUShare, ValueBytes: int(f.Cluster.State.ValueKB * 1024), TxnOps: f.Cluster.State.TxnOps, ListLagS: f.Cluster.Cloud.ListLagS,
 	}
 	for _, o := range f.Others {
 		p.Peers = append(p.Peers, o.Member)
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -455,7 +455,8 @@
 		g := &group{j: &j.rec.Job, left: need.Count, length: need.Length, due: need.Deadline}
 		for _, v := range vms {
 			if g.left > 0 && m.allowed(g.j, v.o.typ, v.o.zone, v.o.spot) {
-				n, _ := m.fit(v.pm, g, m.reach(g, v.pm), g.left, mode, true)
+				v.pm.fetch = m.planFetch(v.pm, g.j)
+				n, _, _ := m.fit(v.pm, g, m.reach(g, v.pm), g.left, mode)
 				g.left -= n
 			}
 		}
@@ -466,7 +467,8 @@
 			}
 			t := m.types[o.typ]
 			v := &virtual{o: o, shard: sr.Shard, pm: &planMachine{typ: t, zone: o.zone, spot: o.spot, upAt: wall + ms(t.BootS), free: t.Room}}
-			n, _ := m.fit(v.pm, g, m.reach(g, v.pm), g.left, mode, true)
+			v.pm.fetch = m.planFetch(v.pm, g.j)
+			n, _, _ := m.fit(v.pm, g, m.reach(g, v.pm), g.left, mode)
 			if n == 0 {
 				break
 			}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/grebedock/grebedock/availability"
 )
@@ -19,6 +20,7 @@
 	key     attemptKey
 	job     Job // as it was started
 	work    *work
+	claim   *shard
 	index   int // in work
 	shard   string
 	machine string
@@ -72,6 +74,9 @@
 	full         int64 // no starts before (it refused one for want of room)
 	faults       map[string]bool
 	attempts     map[attemptKey]*attempt
+	live         int               // attempts that are not over
+	use          availability.Room // of them
+	pm           planMachine
 	images       map[string]int64 // seen in use; wall time of the last use
 	idleAt       int64            // steady time since when nothing runs
 	plan         []planned
@@ -96,6 +101,10 @@
 		m.machines[id] = mc
 		mc.rec, mc.rev = rec, rev
 		m.resetMachine(id, mc)
+		if s := m.mine[rec.Shard]; s != nil {
+			at, _ := slices.BinarySearchFunc(s.machines, id, (*machine).compare)
+			s.machines = slices.Insert(s.machines, at, mc)
+		}
 	}
 	mc.rec, mc.rev = rec, rev
 	if s := m.mine[rec.Shard]; s != nil {
@@ -104,11 +113,16 @@
 	m.answerWaiting(id)
 }
 
+func (mc *machine) compare(id string) int { return strings.Compare(mc.id, id) }
+
 // resetMachine forgets what an earlier claim knew of a machine. Silence counts
 // from here: whoever answered it before did so before this claim.
 func (m *Member) resetMachine(id string, mc *machine) {
+	for _, a := range mc.attempts {
+		m.end(mc, a)
+	}
 	*mc = machine{id: id, rec: mc.rec, rev: mc.rev, busy: mc.busy, last: m.now.Steady, idleAt: m.now.Steady,
-		attempts: map[attemptKey]*attempt{}, images: map[string]int64{}, faults: map[string]bool{}}
+		attempts: map[attemptKey]*attempt{}, images: map[string]int64{}, faults: map[string]bool{}, pm: mc.pm}
 	if s := m.mine[mc.rec.Shard]; s != nil {
 		mc.token = s.base
 	}
@@ -127,35 +141,51 @@
 	}
 	if s := m.mine[mc.rec.Shard]; s != nil {
 		s.dirty = true
+		if at, ok := slices.BinarySearchFunc(s.machines, id, (*machine).compare); ok {
+			s.machines = slices.Delete(s.machines, at, at+1)
+		}
 	}
 }
 
 // over frees what an attempt held, once there is evidence that it is over.
 func (m *Member) over(mc *machine, a *attempt) {
 	delete(mc.attempts, a.key)
+	m.end(mc, a)
+}
+
+// begin counts an attempt: for its machine, its team, its job's zones.
+func (m *Member) begin(mc *machine, a *attempt) {
+	a.claim.use[a.job.Team] = a.claim.use[a.job.Team].Add(a.job.Request)
+	a.work.take(a.index)
+	a.work.zones[mc.rec.Zone]++
+	mc.attempts[a.key] = a
+	mc.live++
+	mc.use = mc.use.Add(a.job.Request)
+}
+
+// end takes back what begin counted, once. The attempt may stay on its machine
+// until its result is stored.
+func (m *Member) end(mc *machine, a *attempt) {
 	if a.exited {
 		return
 	}
 	a.exited = true
 	a.work.free(a.index)
-	if s := m.mine[a.shard]; s != nil {
-		s.dirty = true
-	}
-	if m.live(mc) == 0 {
+	a.work.zones[mc.rec.Zone]--
+	if a.running {
+		a.work.running--
+	}
+	a.claim.use[a.job.Team] = a.claim.use[a.job.Team].Sub(a.job.Request)
+	a.claim.dirty = true
+	a.claim.spare += a.job.Request.CPUs
+	mc.live--
+	mc.use = mc.use.Sub(a.job.Request)
+	if mc.live == 0 {
+		mc.use = availability.Room{}
 		mc.idleAt = m.now.Steady
 	}
 }
 
-func (m *Member) live(mc *machine) int {
-	n := 0
-	for _, a := range mc.attempts {
-		if !a.exited {
-			n++
-		}
-	}
-	return n
-}
-
 // settled tells whether nothing that an earlier claim started can still run on
 // the machine without our knowing it.
 func (mc *machine) settled() bool { return !mc.rec.Up || mc.confirmed || mc.lost }
@@ -173,17 +203,17 @@
 }
 
 // tickMachine takes note of silence and idleness.
-func (m *Member) tickMachine(s *shard, id string, mc *machine) {
+func (m *Member) tickMachine(s *shard, mc *machine) {
 	now := m.now.Steady
 	t := m.types[mc.rec.Type]
 	if mc.rec.Up && !mc.lost && now > m.leaseEnd(mc) {
 		mc.lost = true
-		lostTasks := m.live(mc)
+		lostTasks := mc.live
 		for _, a := range mc.attempts {
 			m.over(mc, a)
 		}
 		m.Counters.Lost += uint64(lostTasks)
-		m.log(Info, "machine silent past its lease", "machine", id, "tasks", lostTasks)
+		m.log(Info, "machine silent past its lease", "machine", mc.id, "tasks", lostTasks)
 		s.dirty = true
 	}
 	if mc.goneAt != 0 && now > mc.goneAt-m.reportGap() && now > mc.last+m.reportGap() || mc.goneAt != 0 && now > mc.goneAt {
@@ -191,21 +221,19 @@
 		// and its tasks need not wait for the lease.
 		m.drain(s, mc, "spot notice ended")
 	}
-	if mc.goneAt != 0 && mc.confirmed && m.live(mc) == 0 {
+	if mc.goneAt != 0 && mc.confirmed && mc.live == 0 {
 		m.drain(s, mc, "empty, on spot notice")
 	}
 	if mc.lost && now > m.leaseEnd(mc)+ms(m.p.LeaseS)/2 {
 		m.drain(s, mc, "silent")
 	}
-	for _, d := range m.settings.Drain {
-		if d == id {
-			mc.drained = true
-			if m.live(mc) == 0 {
-				m.drain(s, mc, "drained by an operator")
-			}
+	if slices.Contains(m.settings.Drain, mc.id) {
+		mc.drained = true
+		if mc.live == 0 {
+			m.drain(s, mc, "drained by an operator")
 		}
 	}
-	if t == nil || !mc.rec.Up || m.live(mc) > 0 {
+	if t == nil || !mc.rec.Up || mc.live > 0 {
 		return
 	}
 	if mc.confirmed && len(mc.faults) >= 2 {
@@ -320,7 +348,7 @@
 	}
 	if mc.heard && r.Session > mc.session {
 		// Its lease ended: every task of the earlier session was killed.
-		m.log(Info, "machine in a new session", "machine", r.Machine, "tasks", m.live(mc))
+		m.log(Info, "machine in a new session", "machine", r.Machine, "tasks", mc.live)
 		for _, a := range mc.attempts {
 			m.over(mc, a)
 		}
@@ -334,7 +362,7 @@
 	if r.NoticeS != nil {
 		at := m.now.Steady + ms(*r.NoticeS)
 		if mc.goneAt == 0 {
-			m.log(Info, "spot notice", "machine", r.Machine, "seconds", *r.NoticeS, "tasks", m.live(mc))
+			m.log(Info, "spot notice", "machine", r.Machine, "seconds", *r.NoticeS, "tasks", mc.live)
 			s.dirty = true
 		}
 		mc.goneAt = max(at, 1)
@@ -348,10 +376,8 @@
 		mc.busy = true
 		m.writeMachine(s, mc, rec)
 	}
-	if s.dirty {
-		m.plan(s)
-	}
 	m.starts(s, mc, &r)
+	m.pick(s, mc, &r)
 	m.answer(reply, WorkerAnswer{Accepted: true, Token: s.token, Commands: append([]Command(nil), mc.commands...)})
 }
 
@@ -410,10 +436,9 @@
 		return nil
 	}
 	j := w.job.rec.Job
-	a := &attempt{key: attemptKey{t.Task, t.Attempt}, job: j, work: w, index: i, shard: s.name, machine: mc.id,
+	a := &attempt{key: attemptKey{t.Task, t.Attempt}, job: j, work: w, claim: s, index: i, shard: s.name, machine: mc.id,
 		session: mc.session, placedAt: m.now.Wall, length: m.length(&j), fetch: 0}
-	w.take(i)
-	mc.attempts[a.key] = a
+	m.begin(mc, a)
 	s.dirty = true
 	return a
 }
@@ -444,7 +469,7 @@
 	case "running", "waiting":
 		if !a.running {
 			a.running, a.ranAt = true, m.now.Wall
-			s.dirty = true
+			a.work.running++
 		}
 	case "saving":
 		a.saving = true
@@ -458,12 +483,7 @@
 		return
 	}
 	if !a.exited {
-		a.exited = true
-		w.free(a.index)
-		s.dirty = true
-		if m.live(mc) == 0 {
-			mc.idleAt = m.now.Steady
-		}
+		m.end(mc, a)
 		switch t.Why {
 		case "done":
 			w.finish(a.index)
@@ -566,13 +586,7 @@
 
 // room is what a machine's live attempts leave of it.
 func (m *Member) room(mc *machine) availability.Room {
-	r := roomOf(m.types[mc.rec.Type])
-	for _, a := range mc.attempts {
-		if !a.exited {
-			r = r.Sub(a.job.Request)
-		}
-	}
-	return r
+	return roomOf(m.types[mc.rec.Type]).Sub(mc.use)
 }
 
 // urgent tells whether a start should not wait for the machine's next report:
@@ -590,8 +604,8 @@
 
 // startNow sends urgent starts straight to their workers.
 func (m *Member) startNow(s *shard) {
-	for _, mc := range inOrder(m.machines) {
-		if mc.rec.Shard != s.name || len(mc.plan) == 0 || mc.doing || !mc.heard || mc.rec.Addr == "" {
+	for _, mc := range s.machines {
+		if len(mc.plan) == 0 || mc.doing || !mc.heard || mc.rec.Addr == "" {
 			continue
 		}
 		if now := m.now.Steady; now-mc.last > m.reportGap() {
@@ -686,25 +700,94 @@
 		if m.jobs[j.ID] != w.job || w.job.works[w.rng.Lo] != w || w.moving {
 			continue
 		}
-		from := 0
 		for range p.n {
-			i := w.next(from)
+			i := w.next()
 			if i < 0 || !free.Holds(j.Request) || !m.mayStart(s, w, mc) {
 				break
 			}
-			from = i + 1
 			free = free.Sub(j.Request)
-			a := &attempt{key: attemptKey{taskName(j.ID, w.rng.Lo+i), s.nextAttempt()}, job: *j, work: w, index: i, shard: s.name,
-				machine: mc.id, session: r.Session, afterSeq: r.Seq, placedAt: m.now.Wall, length: p.length, fetch: p.fetch}
-			w.take(i)
-			mc.attempts[a.key] = a
-			m.Counters.Starts++
-			m.log(Debug, "start", "task", a.key.task, "attempt", a.key.attempt, "machine", mc.id)
-			mc.commands = append(mc.commands, Command{Kind: Start, Task: a.key.task, Attempt: a.key.attempt})
+			m.start(s, mc, w, i, p.length, p.fetch, r)
 		}
 	}
 }
 
+// start begins an attempt; its command goes with whatever the machine is told
+// next.
+func (m *Member) start(s *shard, mc *machine, w *work, i int, length, fetch int64, r *Report) {
+	j := &w.job.rec.Job
+	a := &attempt{key: attemptKey{taskName(j.ID, w.rng.Lo+i), s.nextAttempt()}, job: *j, work: w, claim: s, index: i, shard: s.name,
+		machine: mc.id, session: r.Session, afterSeq: r.Seq, placedAt: m.now.Wall, length: length, fetch: fetch}
+	m.begin(mc, a)
+	m.Counters.Starts++
+	m.log(Debug, "start", "task", a.key.task, "attempt", a.key.attempt, "machine", mc.id)
+	mc.commands = append(mc.commands, Command{Kind: Start, Task: a.key.task, Attempt: a.key.attempt})
+}
+
+// pick fills the room that a report shows beyond what the plan put there: the
+// next tasks of the shard's queue, in the order of the last plan. A task whose
+// image is there goes before one that would fetch, if the latter can still
+// start behind it in time: l(δ) once more, with the passed-over task behind the
+// insertion point.
+func (m *Member) pick(s *shard, mc *machine, r *Report) {
+	if len(s.queue) == 0 || !m.usable(mc) || !mc.rec.Up || !mc.confirmed || !m.authority() {
+		return
+	}
+	free := m.room(mc)
+	t := m.types[mc.rec.Type]
+	x := int64(1) << 62 // the latest start of what was passed over
+	for free.CPUs > 0 {
+		var first, here *group
+		for _, g := range s.queue {
+			if g.j.Kind == Gang || g.w.pending() <= 0 || !free.Holds(withoutDisk(g.j.Request)) || !m.mayPick(s, mc, t, g) {
+				continue
+			}
+			if first == nil {
+				first = g
+			}
+			if g.j.Priority != first.j.Priority {
+				break
+			}
+			fetch := m.fetchTime(g.j, mc, t)
+			if fetch == 0 && (g == first || m.now.Wall+int64(float64(g.length)*padding) <= x) {
+				here = g
+				break
+			}
+			x = min(x, g.due-g.length-fetch)
+		}
+		g := here
+		if g == nil {
+			g = first
+		}
+		if g == nil {
+			return
+		}
+		fetch := m.fetchTime(g.j, mc, t)
+		for free.Holds(withoutDisk(g.j.Request)) && m.mayPick(s, mc, t, g) {
+			i := g.w.next()
+			if i < 0 {
+				break
+			}
+			free = free.Sub(g.j.Request)
+			s.spare -= g.j.Request.CPUs
+			m.start(s, mc, g.w, i, g.length, fetch, r)
+		}
+	}
+}
+
+// mayPick tells whether a task of a group may start on a machine without a new
+// plan. What the plan decides with a view of the whole shard is left to it:
+// types that others cannot do without, and the reserve.
+func (m *Member) mayPick(s *shard, mc *machine, t *MachineType, g *group) bool {
+	j := &g.w.job.rec.Job
+	if m.jobs[j.ID] != g.w.job || g.w.job.works[g.w.rng.Lo] != g.w || g.w.moving || m.now.Steady < g.w.retryAt || g.w.failed[mc.id] > 0 {
+		return false
+	}
+	if g.tight >= g.due && s.spare-s.reserve < j.Request.CPUs || m.short(j, t) {
+		return false
+	}
+	return m.mayStart(s, g.w, mc)
+}
+
 // mayStart checks, at the last moment, what the rules ask of a start.
 func (m *Member) mayStart(s *shard, w *work, mc *machine) bool {
 	j := &w.job.rec.Job
@@ -719,8 +802,8 @@
 	if !w.recovered {
 		return false
 	}
-	for _, mc := range m.machines {
-		if mc.rec.Shard == s.name && !mc.settled() {
+	for _, mc := range s.machines {
+		if !mc.settled() {
 			return true
 		}
 	}
@@ -735,16 +818,10 @@
 	if !j.whole() {
 		return true
 	}
-	here, elsewhere := 0, 0
-	for _, mc := range m.machines {
-		for _, a := range mc.attempts {
-			if !a.exited && a.work == w {
-				if mc.rec.Zone == zone {
-					here++
-				} else {
-					elsewhere++
-				}
-			}
+	here, elsewhere := w.zones[zone], 0
+	for z, n := range w.zones {
+		if z != zone {
+			elsewhere += n
 		}
 	}
 	if j.OneZone && elsewhere > 0 {
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -39,6 +39,7 @@
 	ReportS    float64
 	LeaseS     float64
 	CancelS    float64
+	CPUShare   float64 // of one core; 0: not limited
 	ValueBytes int
 	TxnOps     int
 	ListLagS   float64
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -56,7 +56,7 @@
 func TestWorkOfAnEndedClaimIsReplaced(t *testing.T) {
 	m := testMember(t)
 	m.synced = true
-	own, adopted := &shard{name: "m0", base: 1, token: 1}, &shard{name: "m1", base: 2, token: 2}
+	own, adopted := newShard("m0", 0, 1, 0), newShard("m1", 0, 2, 0)
 	m.mine["m0"], m.mine["m1"] = own, adopted
 	key := jobKey("job-000001")
 	m.apply(Item{Key: key, Value: encode(testJob(Range{Lo: 0, Hi: 2, Shard: "m1"})), Rev: 5})
@@ -100,7 +100,7 @@
 	m := testMember(t)
 	m.p.Teams = map[string]Team{"ops": {MaxCPUs: 64}}
 	m.synced, m.rev = true, 20
-	s := &shard{name: "m0", base: 1, token: 1}
+	s := newShard("m0", 0, 1, 0)
 	m.mine["m0"] = s
 	m.apply(Item{Key: teamKey("ops"), Value: encode(teamRecord{Parts: map[string]amounts{"m0": {CPUs: 32}, "m1": {CPUs: 32}}}), Rev: 21})
 	m.writeTeam(s, "ops", func(r *teamRecord) { r.Parts["m0"], r.Parts["m1"] = amounts{}, amounts{CPUs: 64} })
@@ -142,7 +142,8 @@
 	m.now = Now{1000, 1000}
 	m.holdAt, m.freshAt = 1000, 1000
 	m.setTypes([]MachineType{{Name: "small", Room: availability.Room{CPUs: 8, MemoryGB: 32}, BootS: 10, Zones: []string{"a"}}})
-	s := &shard{name: "m0", base: 5, token: 5, nonce: 7, ready: true}
+	s := newShard("m0", 7, 5, 1000)
+	s.ready = true
 	m.mine["m0"] = s
 	m.apply(Item{Key: shardKey("m0"), Value: encode(shardRecord{"m0", 7}), Rev: 11})
 	s.base, s.token = 11, 11
@@ -197,12 +198,12 @@
 		m.Report(m.now, seq, Report{Machine: "i-1", Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: seq, Token: token})
 	}
 	report(20, 11)
-	if m.live(mc) != 1 {
+	if mc.live != 1 {
 		t.Error("an unanswered start is given up while it may still run")
 	}
 	m.StoreDone(m.now, raise[0].ID, StoreResult{Rev: 30})
 	report(21, 11)
-	if m.live(mc) != 1 {
+	if mc.live != 1 {
 		t.Error("an unanswered start is given up before its worker saw the higher token")
 	}
 	first := len(mc.attempts)
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -110,19 +110,20 @@
 	var shares []share
 	mineN := 0
 	if s := m.mine[own]; s != nil && s.ready && m.authority() {
+		// The last plan is asked, and keeps what it promises here until the
+		// next one: a burst of submissions must not cost a plan each.
 		tmp := &job{rec: jobRecord{Job: *j, Accepted: m.now.Wall}}
-		w := &work{job: tmp, rng: Range{0, j.Tasks, own, false}, shard: own, done: newBits(j.Tasks), busy: newBits(j.Tasks)}
-		m.plan(s)
+		w := &work{job: tmp, rng: Range{0, j.Tasks, own, false}, shard: own}
 		g := &group{w: w, j: &tmp.rec.Job, left: min(left, m.teamCopies(s, j)), length: length, tight: tight, due: due}
-		for _, pm := range m.order(s.pms, g) {
-			n, _ := m.fit(pm, g, tight, min(g.left, m.zoneRoom(pm, g)), every, true)
-			g.left -= n
-			mineN += n
+		_, all := m.order(s.pms, g)
+		for _, pm := range all {
 			if g.left == 0 {
 				break
 			}
+			n, _, _ := m.fit(pm, g, tight, min(g.left, m.zoneRoom(pm, g)), every)
+			g.left -= n
+			mineN += n
 		}
-		s.dirty = true
 	}
 	if mineN < left && !j.whole() {
 		type offer struct {
@@ -286,8 +287,8 @@
 // are.
 func (m *Member) logLoad(s *shard) {
 	var spot, ordinary, booting, running, fetching float64
-	for _, mc := range m.machines {
-		if mc.rec.Shard != s.name || mc.rec.Draining {
+	for _, mc := range s.machines {
+		if mc.rec.Draining {
 			continue
 		}
 		cpus := roomOf(m.types[mc.rec.Type]).CPUs
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -16,18 +17,44 @@
 
 // planMachine is a machine as the planner sees it.
 type planMachine struct {
-	mc       *machine // nil: one that might be rented
-	id       string
-	typ      *MachineType
-	zone     string
-	spot     bool
-	upAt     int64 // starts from here on
-	up       bool
-	cutoff   int64 // everything must have ended; 0: no end
-	free     availability.Room
-	lanes    []*lane
-	blocking bool
-	zones    map[*work]int
+	mc    *machine // nil: one that might be rented
+	id    string
+	typ   *MachineType
+	zone  string
+	spot  bool
+	kind  kindKey
+	upAt  int64 // starts from here on
+	up    bool
+	free  availability.Room
+	lanes []lane
+	zones map[*work]int
+
+	// What the group that is being placed finds here.
+	fits  bool  // its job may use the machine
+	fetch int64 // how long its image takes
+	left  float64
+	short bool
+	dear  bool
+}
+
+// kindKey is what the rules of placement see of a machine.
+type kindKey struct {
+	typ, zone string
+	spot      bool
+}
+
+// addLane opens a queue on the machine. The memory of earlier plans' queues is
+// used again.
+func (pm *planMachine) addLane(room availability.Room, base int64) *lane {
+	if n := len(pm.lanes); n < cap(pm.lanes) {
+		pm.lanes = pm.lanes[:n+1]
+	} else {
+		pm.lanes = append(pm.lanes, lane{})
+	}
+	l := &pm.lanes[len(pm.lanes)-1]
+	l.room = room
+	l.queue.Reset(base)
+	return l
 }
 
 // farSpan is the horizon of a job without any aim, in leases: far enough that
@@ -93,13 +120,16 @@
 // planMachines lists a shard's machines with a lane for each live attempt.
 func (m *Member) planMachines(s *shard) []*planMachine {
 	wall := m.now.Wall
-	var out []*planMachine
-	for id, mc := range m.machines {
-		if mc.rec.Shard != s.name || !m.usable(mc) {
+	out := s.pms[:0]
+	for _, mc := range s.machines {
+		mc.plan = nil
+		if !m.usable(mc) {
 			continue
 		}
 		t := m.types[mc.rec.Type]
-		pm := &planMachine{mc: mc, id: id, typ: t, zone: mc.rec.Zone, spot: mc.rec.Spot, upAt: wall, free: t.Room, up: mc.confirmed}
+		pm := &mc.pm
+		*pm = planMachine{mc: mc, id: mc.id, typ: t, zone: mc.rec.Zone, spot: mc.rec.Spot, kind: kindKey{t.Name, mc.rec.Zone, mc.rec.Spot},
+			upAt: wall, free: t.Room, up: mc.confirmed, lanes: pm.lanes[:0]}
 		if !mc.rec.Up {
 			pm.upAt = mc.rec.Rented + ms(t.BootS)
 			if late := wall - pm.upAt; late > 0 {
@@ -116,13 +146,13 @@
 				continue
 			}
 			pm.free = pm.free.Sub(a.job.Request)
-			pm.lanes = append(pm.lanes, &lane{room: a.job.Request, queue: availability.Queue{Base: a.ends(wall)}})
+			pm.addLane(a.job.Request, a.ends(wall))
 		}
-		sort.Slice(pm.lanes, func(i, k int) bool { return pm.lanes[i].queue.Base < pm.lanes[k].queue.Base })
-		mc.plan = nil
+		slices.SortFunc(pm.lanes, func(a, b lane) int {
+			return cmp.Or(cmp.Compare(a.queue.Base, b.queue.Base), cmp.Compare(a.room.CPUs, b.room.CPUs), cmp.Compare(a.room.MemoryGB, b.room.MemoryGB))
+		})
 		out = append(out, pm)
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].id < out[k].id })
 	return out
 }
 
@@ -140,15 +170,13 @@
 // can meet an aim before what can't, what was admitted keeps its place, then earliest deadline, then arrival.
 func (m *Member) groups(s *shard) []*group {
 	var out []*group
-	for _, j := range m.jobs {
-		for _, w := range j.works {
-			if w.shard != s.name || w.pending() <= 0 {
-				continue
-			}
-			g := &group{w: w, j: &j.rec.Job, left: w.pending(), length: m.length(&j.rec.Job)}
-			g.tight, g.due, g.lost = m.aims(g.j, j.rec.Accepted, g.length)
-			out = append(out, g)
+	for _, w := range s.works {
+		if w.pending() <= 0 {
+			continue
 		}
+		g := &group{w: w, j: &w.job.rec.Job, left: w.pending(), length: m.length(&w.job.rec.Job)}
+		g.tight, g.due, g.lost = m.aims(g.j, w.job.rec.Accepted, g.length)
+		out = append(out, g)
 	}
 	sort.Slice(out, func(i, k int) bool {
 		a, b := out[i], out[k]
@@ -191,129 +219,121 @@
 	queued                // queues that exist
 )
 
-// fit is how many tasks of the group the machine can take, given its lanes, if
-// all must end by deadline, and applies them when apply is set. Tasks that can
-// start now are counted in now.
-func (m *Member) fit(pm *planMachine, g *group, deadline int64, limit int, mode fitMode, apply bool) (n, now int) {
+// fit puts as many tasks of the group on the machine as its queues end by
+// deadline. Tasks that can start now are counted in now. steps counts what was
+// looked at.
+func (m *Member) fit(pm *planMachine, g *group, deadline int64, limit int, mode fitMode) (n, now, steps int) {
 	req := withoutDisk(g.j.Request)
-	fetch := m.planFetch(pm, g.j)
-	length := int64(float64(g.length)*padding) + fetch
-	end := deadline
-	if pm.cutoff > 0 {
-		end = min(end, pm.cutoff)
-	}
+	length := int64(float64(g.length)*padding) + pm.fetch
 	room := limit
 	// New queues on free room first: they start now.
-	free := pm.free
-	var opened []*lane
-	for mode != queued && room > 0 && free.Holds(req) {
-		if mode != anyhow && end-pm.upAt < g.length+fetch {
+	for mode != queued && room > 0 && pm.free.Holds(req) {
+		if mode != anyhow && deadline-pm.upAt < g.length+pm.fetch {
 			break
 		}
-		l := &lane{room: req, queue: availability.Queue{Base: pm.upAt}}
+		l := pm.addLane(req, pm.upAt)
 		// The first task needs no padding: nothing waits behind it yet.
-		l.queue.Admit(max(end, pm.upAt+g.length+fetch), g.length+fetch, 1)
-		free = free.Sub(req)
-		opened = append(opened, l)
+		l.queue.Admit(max(deadline, pm.upAt+g.length+pm.fetch), g.length+pm.fetch, 1)
+		pm.free = pm.free.Sub(req)
 		room--
 		n++
 		now++
 	}
-	if apply {
-		pm.free = free
-		pm.lanes = append(pm.lanes, opened...)
-	}
 	if mode == fresh || mode == anyhow {
-		return n, now
-	}
-	lanes := pm.lanes
-	if !apply {
-		lanes = append(slices.Clone(pm.lanes), opened...)
+		return n, now, 1 + now
 	}
-	for _, l := range lanes {
+	for i := range pm.lanes {
 		if room <= 0 {
 			break
 		}
-		if !l.room.Holds(req) {
+		steps++
+		l := &pm.lanes[i]
+		if deadline-l.queue.Base < length || !l.room.Holds(req) {
 			continue
 		}
-		var k int64
-		if apply {
-			k = l.queue.Admit(end, length, int64(room))
-		} else {
-			k = min(int64(room), l.queue.Available(end)/max(length, 1))
-		}
-		n += int(k)
-		room -= int(k)
+		k := int(l.queue.Admit(deadline, length, int64(room)))
+		n += k
+		room -= k
 	}
-	return n, now
+	return n, now, 1 + steps + now
+}
+
+// couldStart is how many tasks of a group have room on a machine side by side.
+func (pm *planMachine) couldStart(g *group, limit int) int {
+	return pm.free.Copies(withoutDisk(g.j.Request), limit)
 }
 
 func (m *Member) planFetch(pm *planMachine, j *Job) int64 {
 	if pm.mc != nil {
 		return m.fetchTime(j, pm.mc, pm.typ)
 	}
-	if j.Image == "" || pm.typ.FetchGBps <= 0 {
-		return 0
-	}
-	return ms(j.Request.DiskGB / pm.typ.FetchGBps)
+	return m.typeFetch(j, pm.typ.Name)
 }
 
-// order sorts machines for a group: ones that others cannot do without last,
-// ones that are up before ones that boot,
-// ones with the image before others, then least leftover first, as the paper
-// has it, measured against the largest machine.
-func (m *Member) order(pms []*planMachine, g *group) []*planMachine {
-	type scored struct {
-		pm    *planMachine
-		boot  int
-		dear  bool
-		short bool
-		fetch int64
-		left  float64
+// kindOf is what a kind of machine is to a job.
+type kindOf struct{ fits, short, dear bool }
+
+// look notes on the shard's machines what a group finds there.
+func (m *Member) look(pms []*planMachine, g *group) {
+	kinds := make(map[kindKey]kindOf, 8)
+	for _, pm := range pms {
+		k, ok := kinds[pm.kind]
+		if !ok {
+			k = kindOf{m.allowed(g.j, pm.typ.Name, pm.zone, pm.spot), m.short(g.j, pm.typ), g.j.Spot && !pm.spot}
+			kinds[pm.kind] = k
+		}
+		pm.fits = k.fits && (len(g.w.failed) == 0 || pm.mc == nil || g.w.failed[pm.mc.id] == 0)
+		if pm.fits {
+			pm.short, pm.dear, pm.fetch = k.short, k.dear, m.planFetch(pm, g.j)
+		}
 	}
+}
+
+// order sorts the machines with room for a group: ones that others cannot do
+// without last, ones that are up before ones that boot, ones with the image
+// before others, then least leftover first, as the paper has it, measured
+// against the largest machine. Machines without room are behind them, since
+// only their queues matter, in the order in which those are free.
+func (m *Member) order(pms []*planMachine, g *group) (open, all []*planMachine) {
+	m.look(pms, g)
 	var big availability.Room
 	for _, t := range m.types {
 		big.CPUs, big.MemoryGB = max(big.CPUs, t.Room.CPUs), max(big.MemoryGB, t.Room.MemoryGB)
 	}
+	req := withoutDisk(g.j.Request)
 	span := float64(max(g.due-m.now.Wall, 1000))
-	list := make([]scored, 0, len(pms))
+	all = make([]*planMachine, 0, len(pms))
 	for _, pm := range pms {
-		if !m.allowed(g.j, pm.typ.Name, pm.zone, pm.spot) || pm.mc != nil && g.w.failed[pm.mc.id] > 0 {
+		if !pm.fits || !pm.free.Holds(req) {
 			continue
 		}
-		c := scored{pm: pm, dear: g.j.Spot && !pm.spot, short: m.short(g.j, pm.typ), fetch: m.planFetch(pm, g.j)}
-		if !pm.up {
-			c.boot = 1
-		}
-		left := (pm.free.CPUs-g.j.Request.CPUs)/max(big.CPUs, 1) + (pm.free.MemoryGB-g.j.Request.MemoryGB)/max(big.MemoryGB, 1)
-		if left < 0 {
-			left = 0
-		}
-		c.left = left + float64(g.due-pm.upAt-g.length-c.fetch)/span/4
-		list = append(list, c)
+		left := (pm.free.CPUs-req.CPUs)/max(big.CPUs, 1) + (pm.free.MemoryGB-req.MemoryGB)/max(big.MemoryGB, 1)
+		pm.left = max(left, 0) + float64(g.due-pm.upAt-g.length-pm.fetch)/span/4
+		all = append(all, pm)
 	}
-	sort.SliceStable(list, func(i, k int) bool {
-		a, b := list[i], list[k]
-		if a.short != b.short {
-			return b.short
+	open = all
+	first := func(x, y bool) int {
+		switch {
+		case x == y:
+			return 0
+		case x:
+			return -1
 		}
-		if a.boot != b.boot {
-			return a.boot < b.boot
-		}
-		if a.dear != b.dear {
-			return b.dear
-		}
-		if (a.fetch == 0) != (b.fetch == 0) {
-			return a.fetch == 0
-		}
-		return a.left < b.left
+		return 1
+	}
+	slices.SortStableFunc(open, func(a, b *planMachine) int {
+		return cmp.Or(first(!a.short, !b.short), first(a.up, b.up), first(!a.dear, !b.dear), first(a.fetch == 0, b.fetch == 0), cmp.Compare(a.left, b.left))
 	})
-	out := make([]*planMachine, len(list))
-	for i := range list {
-		out[i] = list[i].pm
+	for _, pm := range pms {
+		if pm.fits && !pm.free.Holds(req) && len(pm.lanes) > 0 && pm.typ.Room.Holds(req) {
+			all = append(all, pm)
+		}
 	}
-	return out
+	open = all[:len(open)]
+	slices.SortStableFunc(all[len(open):], func(a, b *planMachine) int {
+		return cmp.Or(first(!a.short, !b.short), first(!a.dear, !b.dear), first(a.fetch == 0, b.fetch == 0))
+	})
+	return open, all
 }
 
 // Which machines a pass of the planner considers.
@@ -361,16 +381,18 @@
 // first, and notes what starts now and what no machine can take in time.
 func (m *Member) plan(s *shard) {
 	m.Counters.Replans++
-	s.dirty, s.planned = false, m.now.Steady
+	s.dirty, s.hasten, s.planned = false, false, m.now.Steady
 	s.needs = s.needs[:0]
+	s.steps = 0
 	if !s.ready {
 		return
 	}
 	m.findOnlyTypes()
-	pms := m.planMachines(s)
-	s.pms = pms
-	m.setReserve(s, pms)
-	for _, g := range m.groups(s) {
+	s.pms = m.planMachines(s)
+	m.setReserve(s, s.pms)
+	s.queue = m.groups(s)
+	s.steps += len(s.pms) * (1 + len(s.queue))
+	for _, g := range s.queue {
 		if m.now.Steady < g.w.retryAt || m.blocked(s, g.w) || g.w.moving {
 			continue
 		}
@@ -379,7 +401,9 @@
 			m.wantTeam(s, g.j, g.left-cap)
 			g.left = cap
 		}
-		m.place(s, pms, g)
+		if g.left > 0 {
+			m.place(s, g)
+		}
 	}
 }
 
@@ -400,6 +424,9 @@
 			continue
 		}
 		s.spare += pm.free.CPUs
+		if pm.mc.live == 0 {
+			continue
+		}
 		for _, a := range pm.mc.attempts {
 			if !a.exited && m.startAim(&a.job) {
 				use += a.job.Request.CPUs
@@ -418,32 +445,38 @@
 	return slices.ContainsFunc(m.p.Objectives[j.Class], func(o Objective) bool { return o.Kind == "wait" })
 }
 
-func (m *Member) place(s *shard, pms []*planMachine, g *group) {
-	ordered := m.order(pms, g)
+func (m *Member) place(s *shard, g *group) {
+	open, all := m.order(s.pms, g)
 	total := g.left
 	only := anyKind
+	aimOnly := false
 	pass := func(deadline int64, mode fitMode) {
-		for _, pm := range ordered {
+		list := open
+		if mode == queued {
+			list = all
+		}
+		for _, pm := range list {
 			if g.left <= 0 {
 				return
 			}
-			if only == spotKind && !pm.spot {
+			if only == spotKind && !pm.spot || aimOnly && pm.short {
 				continue
 			}
 			limit := min(g.left, m.zoneRoom(pm, g))
 			if mode == fresh && pm.up && g.tight >= g.due {
 				limit = availability.Room{CPUs: s.spare - s.reserve}.Copies(availability.Room{CPUs: g.j.Request.CPUs}, limit)
 			}
-			n, now := m.fit(pm, g, deadline, limit, mode, true)
+			n, now, steps := m.fit(pm, g, deadline, limit, mode)
+			s.steps += steps
 			g.left -= n
 			if pm.up {
 				s.spare -= float64(now) * g.j.Request.CPUs
 			}
 			if g.j.whole() && n > 0 {
-				m.countZone(pms, pm, g.w, n)
+				m.countZone(s.pms, pm, g.w, n)
 			}
 			if now > 0 && pm.up && pm.mc != nil {
-				pm.mc.plan = append(pm.mc.plan, planned{w: g.w, n: now, length: g.length, fetch: m.planFetch(pm, g.j)})
+				pm.mc.plan = append(pm.mc.plan, planned{w: g.w, n: now, length: g.length, fetch: pm.fetch})
 			}
 		}
 	}
@@ -454,7 +487,7 @@
 		pass(deadline, queued)
 	}
 	if g.j.Kind == Gang {
-		if fits, missing := m.gangFits(g, ordered); !fits {
+		if fits, missing := m.gangFits(g, open); !fits {
 			if missing > 0 {
 				s.needs = append(s.needs, Need{Job: g.j.ID, Count: missing, Deadline: g.due, Length: g.length})
 			}
@@ -467,13 +500,9 @@
 	// cost several times as much: what only they can take is worth a spot
 	// machine, and starts there meanwhile.
 	tier := func(deadline int64) {
-		if deadline < g.due {
-			// A start aim alone is not worth a machine that others
-			// cannot do without.
-			all := ordered
-			ordered = slices.DeleteFunc(slices.Clone(all), func(pm *planMachine) bool { return m.short(g.j, pm.typ) })
-			defer func() { ordered = all }()
-		}
+		// A start aim alone is not worth a machine that others cannot do
+		// without.
+		aimOnly = deadline < g.due
 		if g.j.Spot {
 			only = spotKind
 			put(deadline)
@@ -484,6 +513,7 @@
 		if g.j.Spot {
 			dear -= g.left
 		}
+		aimOnly = false
 	}
 	need := func(n int, deadline int64, spotOnly bool) {
 		if n > 0 {
@@ -511,7 +541,7 @@
 	span := g.due - g.w.job.rec.Accepted
 	for i := 1; i <= lateSteps && g.left > 0; i++ {
 		late := max(g.due, wall) + int64(float64(span)*m.settings.LateShare*float64(i))
-		put(late)
+		pass(late, queued)
 	}
 }
 
@@ -529,7 +559,7 @@
 	}
 	now, later := 0, 0
 	for _, pm := range pms {
-		n, _ := m.fit(pm, g, g.due, min(g.left-now-later, m.zoneRoom(pm, g)), anyhow, false)
+		n := pm.couldStart(g, min(g.left-now-later, m.zoneRoom(pm, g)))
 		if pm.up {
 			now += n
 		} else {
@@ -584,17 +614,7 @@
 		return 0
 	}
 	if g.j.Spread {
-		live := 0
-		for _, mc := range m.machines {
-			if mc.rec.Zone == pm.zone {
-				for _, a := range mc.attempts {
-					if !a.exited && a.work == g.w {
-						live++
-					}
-				}
-			}
-		}
-		return max(0, (g.j.Tasks+1)/2-live-here)
+		return max(0, (g.j.Tasks+1)/2-g.w.zones[pm.zone]-here)
 	}
 	return g.left
 }
@@ -619,17 +639,18 @@
 	wall := m.now.Wall
 	horizon := wall + farSpan*ms(m.p.LeaseS)
 	var out availability.Summary
-	m.plan(s)
+	var q availability.Queue
 	for _, pm := range s.pms {
 		kind := machineKind(pm.typ.Name, pm.zone, pm.spot)
 		disk := pm.typ.Room.DiskGB
 		if pm.free.CPUs > 0 && pm.free.MemoryGB > 0 {
-			q := availability.Queue{Base: pm.upAt}
+			q.Reset(pm.upAt)
 			r := pm.free
 			r.DiskGB = disk
 			out = append(out, availability.Function{Kind: kind, Count: 1, Room: r, Samples: q.Samples(horizon)})
 		}
-		for _, l := range pm.lanes {
+		for i := range pm.lanes {
+			l := &pm.lanes[i]
 			r := l.room
 			r.DiskGB = disk
 			out = append(out, availability.Function{Kind: kind, Count: 1, Room: r, Samples: l.queue.Samples(horizon)})
--- /dev/null
+++ b/scheduler/scale_test.go
@@ -0,0 +1,126 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/grebedock/grebedock/availability"
+)
+
+// fleetOf makes a member that holds a shard of busy machines and a backlog of
+// jobs, for the benchmarks: two tasks run on each machine, and each job has
+// twenty that wait.
+func fleetOf(tb testing.TB, machines, jobs int) (*Member, *shard) {
+	tb.Helper()
+	m := New(Params{Member: "m0", Peers: []string{"m1"}, ReportS: 1, LeaseS: 10, CancelS: 30, ValueBytes: 8192, TxnOps: 16,
+		Objectives: map[string][]Objective{"quick": {{Kind: "wait", WithinS: 3}}, "batch": {{Kind: "finished", WithinS: 300}}}}, 1, Now{1, 1})
+	m.synced, m.hold, m.rev, m.now = true, 1, 10, Now{100_000, 100_000}
+	m.holdAt, m.freshAt = m.now.Steady, m.now.Steady
+	m.setTypes([]MachineType{
+		{Name: "small", Room: availability.Room{CPUs: 8, MemoryGB: 64, DiskGB: 30}, FetchGBps: 1, BootS: 10, Zones: []string{"a", "b"}},
+		{Name: "large", Room: availability.Room{CPUs: 32, MemoryGB: 128, DiskGB: 50}, FetchGBps: 1, BootS: 10, Zones: []string{"a"}},
+	})
+	s := newShard("m0", 7, 5, m.now.Steady)
+	s.ready = true
+	m.mine["m0"] = s
+	rng := rand.New(rand.NewPCG(1, 2))
+	rev := uint64(20)
+	put := func(key string, v any) {
+		rev++
+		m.apply(Item{Key: key, Value: encode(v), Rev: rev})
+	}
+	for i := range jobs {
+		j := Job{ID: fmt.Sprintf("job-%06d", i), Class: "batch", Kind: Array, Priority: Normal, Tasks: 40, Spot: true, EstimateS: 20 + 60*rng.Float64(),
+			Request: availability.Room{CPUs: 4, MemoryGB: 14, DiskGB: 2}, Image: fmt.Sprintf("img-%d", i%10)}
+		if i%3 == 0 {
+			j.Class, j.Priority, j.DeadlineS = "quick", High, 60+60*rng.Float64()
+		}
+		put(jobKey(j.ID), jobRecord{Job: j, Accepted: 90_000, Ranges: []Range{{Lo: 0, Hi: 40, Shard: "m0"}}})
+	}
+	for i := range machines {
+		typ := "small"
+		if i%4 == 0 {
+			typ = "large"
+		}
+		id := fmt.Sprintf("i-%06d", i)
+		put(machineKey(id), machineRecord{Shard: "m0", Type: typ, Zone: "a", Spot: i%2 == 0, Addr: "x", Up: true})
+		mc := m.machines[id]
+		mc.heard, mc.confirmed, mc.session, mc.seq = true, true, 1, 1
+		for k := range 2 {
+			if len(s.works) == 0 {
+				break
+			}
+			w := s.works[(2*i+k)%len(s.works)]
+			if n := w.next(); n >= 0 && w.nBusy < 20 {
+				m.start(s, mc, w, n, 20_000+rng.Int64N(40_000), 0, &Report{Session: 1, Seq: 1})
+			}
+		}
+	}
+	return m, s
+}
+
+var sizes = []struct{ machines, jobs int }{{10, 10}, {100, 30}, {300, 100}, {300, 300}, {1500, 300}}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("%dx%d", c.machines, c.jobs), func(b *testing.B) {
+			m, s := fleetOf(b, c.machines, c.jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				m.plan(s)
+			}
+			b.ReportMetric(float64(s.steps), "steps")
+		})
+	}
+}
+
+func BenchmarkSummary(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("%dx%d", c.machines, c.jobs), func(b *testing.B) {
+			m, s := fleetOf(b, c.machines, c.jobs)
+			m.plan(s)
+			b.ReportAllocs()
+			for b.Loop() {
+				m.summary(s)
+			}
+		})
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("%dx%d", c.machines, c.jobs), func(b *testing.B) {
+			m, s := fleetOf(b, c.machines, c.jobs)
+			m.plan(s)
+			mc := s.machines[0]
+			mc.plan = nil
+			seq := uint64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				seq++
+				r := Report{Machine: mc.id, Addr: "x", Type: mc.rec.Type, Zone: "a", Spot: mc.rec.Spot, Session: 1, Seq: seq, Token: s.token}
+				for k := range mc.attempts {
+					r.Tasks = append(r.Tasks, TaskReport{Task: k.task, Attempt: k.attempt, State: "running"})
+				}
+				m.Report(m.now, seq, r)
+				m.Take()
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("%dx%d", c.machines, c.jobs), func(b *testing.B) {
+			m, s := fleetOf(b, c.machines, c.jobs)
+			m.plan(s)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.planned = m.now.Steady // without the planner
+				m.tickShard(s)
+				m.Take()
+			}
+		})
+	}
+}
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/grebedock/grebedock/availability"
 )
 
 // shard is a claim that this member holds: the machines and task ranges whose
@@ -23,7 +26,20 @@
 	dirty   bool
 	planned int64
 	leaving bool // being handed back
-	pms     []*planMachine
+
+	// What the shard owns, in order, and what of it is in use: nothing that
+	// happens on a report or a tick may look at other shards' machines and
+	// jobs, nor at machines times jobs.
+	machines []*machine
+	works    []*work
+	use      map[string]availability.Room // by team, of live attempts
+
+	// The last plan: the machines it considered, and the groups that waited,
+	// in their order.
+	pms    []*planMachine
+	queue  []*group
+	steps  int // how much work it was, for the pace of the next one
+	hasten bool
 
 	// Room that is kept free for jobs with a start aim, in processors.
 	reserve, spare, average float64
@@ -31,6 +47,10 @@
 	needs                   []Need
 }
 
+func newShard(name string, nonce, rev uint64, now int64) *shard {
+	return &shard{name: name, nonce: nonce, base: rev, token: rev, at: now, dirty: true, use: map[string]availability.Room{}}
+}
+
 // attemptsPerClaim is the room for attempt numbers in one claim. A number is
 // the claim's revision and a counter, so that none is ever used twice and no
 // start needs a write.
@@ -51,6 +71,7 @@
 	nDone   int
 	busy    bits // an attempt has it, running or not known to be over
 	nBusy   int
+	low     int
 	stored  bits // done, as the store has it
 	prog    uint64
 	progSet bool
@@ -69,17 +90,19 @@
 	failed   map[string]int // machine: errors of this job there
 	since    int64
 	moving   bool
-	gangAt   int64 // when the last try to start all of a gang began
+	running  int            // attempts that run
+	zones    map[string]int // zone: live attempts
+	gangAt   int64          // when the last try to start all of a gang began
 }
 
 func (w *work) size() int    { return w.rng.Hi - w.rng.Lo }
 func (w *work) pending() int { return w.size() - w.nDone - w.nBusy }
 
-// next finds the lowest task that is neither done nor taken.
-func (w *work) next(from int) int {
-	for i := from; i < w.size(); i++ {
-		if !w.done.has(i) && !w.busy.has(i) {
-			return i
+// next finds the lowest task that is neither done nor taken. All below low are.
+func (w *work) next() int {
+	for ; w.low < w.size(); w.low++ {
+		if !w.done.has(w.low) && !w.busy.has(w.low) {
+			return w.low
 		}
 	}
 	return -1
@@ -143,7 +166,7 @@
 			return
 		}
 		delete(m.claiming, name)
-		m.mine[name] = &shard{name: name, nonce: nonce, base: rev, token: rev, at: m.now.Steady, dirty: true}
+		m.mine[name] = newShard(name, nonce, rev, m.now.Steady)
 		m.Counters.Claims++
 		m.log(Info, "shard claimed", "shard", name, "token", rev)
 		m.beginShard(m.mine[name])
@@ -209,12 +232,13 @@
 // beginShard takes over what the mirror says the shard owns. The path is the
 // same for a first start, a restart, an adoption and a hand-back.
 func (m *Member) beginShard(s *shard) {
-	for id, mc := range m.machines {
+	for id, mc := range inOrder(m.machines) {
 		if mc.rec.Shard == s.name {
 			m.resetMachine(id, mc)
+			s.machines = append(s.machines, mc)
 		}
 	}
-	for _, j := range m.jobs {
+	for _, j := range inOrder(m.jobs) {
 		m.syncWorks(j, true)
 	}
 	m.readProgress(s)
@@ -277,6 +301,7 @@
 	if w.busy.has(i) {
 		w.busy.clear(i)
 		w.nBusy--
+		w.low = min(w.low, i)
 	}
 }
 
@@ -307,8 +332,12 @@
 			// claim: a shard handed back and a range moved here from it
 			// left a range that nobody ran.
 			n := r.Hi - r.Lo
-			j.works[r.Lo] = &work{job: j, rng: r, shard: r.Shard, claim: s, done: newBits(n), busy: newBits(n), stored: newBits(n),
-				recovered: recovered, since: m.now.Wall}
+			w = &work{job: j, rng: r, shard: r.Shard, claim: s, done: newBits(n), busy: newBits(n), stored: newBits(n),
+				recovered: recovered, since: m.now.Wall, zones: map[string]int{}}
+			j.works[r.Lo] = w
+			at, _ := slices.BinarySearchFunc(s.works, w, (*work).compare)
+			s.works = slices.Insert(s.works, at, w)
+			s.hasten = true
 			continue
 		}
 		if r.Hi != w.rng.Hi {
@@ -318,14 +347,29 @@
 	}
 	for lo, w := range j.works {
 		if !keep[lo] {
-			if s := m.mine[w.shard]; s != nil {
-				s.dirty = true
-			}
+			m.dropWork(w)
 			delete(j.works, lo)
 		}
 	}
 }
 
+// dropWork takes a work off its claim's list.
+func (m *Member) dropWork(w *work) {
+	s := w.claim
+	s.dirty = true
+	if at, ok := slices.BinarySearchFunc(s.works, w, (*work).compare); ok && s.works[at] == w {
+		s.works = slices.Delete(s.works, at, at+1)
+	}
+}
+
+// compare orders works by job and place in it.
+func (w *work) compare(o *work) int {
+	if c := strings.Compare(w.job.rec.Job.ID, o.job.rec.Job.ID); c != 0 {
+		return c
+	}
+	return w.rng.Lo - o.rng.Lo
+}
+
 // jobGone handles the end of a job's live record: it is done or cancelled, and
 // whatever still runs of it is stopped when its machine reports.
 func (m *Member) jobGone(id string) {
@@ -335,9 +379,7 @@
 	}
 	delete(m.jobs, id)
 	for _, w := range j.works {
-		if s := m.mine[w.shard]; s != nil {
-			s.dirty = true
-		}
+		m.dropWork(w)
 	}
 	clear(j.works)
 }
@@ -394,29 +436,50 @@
 		// waiting for good.
 		m.raise(s)
 	}
-	for _, j := range inOrder(m.jobs) {
-		for _, w := range inOrder(j.works) {
-			if w.shard != s.name || w.writing || j.busy || now < w.wroteAt {
-				continue
-			}
-			if w.nDone == w.size() && j.rec.Job.Kind != Service {
-				m.endRange(s, w)
-			} else if w.dirty && now-w.wroteAt > m.progressEvery() {
-				m.writeProgress(s, w)
-			}
+	for _, w := range s.works {
+		if w.writing || w.job.busy || now < w.wroteAt {
+			continue
 		}
-	}
-	for id, mc := range inOrder(m.machines) {
-		if mc.rec.Shard == s.name {
-			m.tickMachine(s, id, mc)
+		if w.nDone == w.size() && w.job.rec.Job.Kind != Service {
+			m.endRange(s, w)
+		} else if w.dirty && now-w.wroteAt > m.progressEvery() {
+			m.writeProgress(s, w)
 		}
 	}
-	if s.dirty && now-s.planned >= 50 || now-s.planned >= 1000 {
+	for _, mc := range s.machines {
+		m.tickMachine(s, mc)
+	}
+	if m.planDue(s) {
 		m.plan(s)
 		m.startNow(s)
 	}
 }
 
+// stepCost is what a step of the planner is taken to cost, in milliseconds of a
+// whole processor. It only paces the planner, so a rough figure does.
+const stepCost = 20e-6
+
+// planShare is which part of its processor a member spends on planning at most.
+const planShare = 0.2
+
+// planDue tells whether a shard is to be planned anew: soon when a job arrived,
+// otherwise as often as the last plan's cost allows. Machines that report room
+// in between take the next task of the queue by themselves.
+func (m *Member) planDue(s *shard) bool {
+	gap := float64(s.steps) * stepCost / planShare
+	if m.p.CPUShare > 0 {
+		gap /= m.p.CPUShare
+	}
+	passed := float64(m.now.Steady - s.planned)
+	switch {
+	case s.hasten:
+		return passed >= max(50, gap/2)
+	case s.dirty:
+		return passed >= max(50, m.p.ReportS*1000/8, gap)
+	}
+	return passed >= max(1000, 2*gap)
+}
+
 func (m *Member) writeProgress(s *shard, w *work) {
 	id := w.job.rec.Job.ID
 	key := progressKey(id, w.rng.Lo)
--- a/scheduler/teams.go
+++ b/scheduler/teams.go
@@ -32,22 +32,6 @@
 	return out
 }
 
-// teamUse is what a team's live attempts in a shard use.
-func (m *Member) teamUse(s *shard, team string) availability.Room {
-	var r availability.Room
-	for _, mc := range m.machines {
-		if mc.rec.Shard != s.name {
-			continue
-		}
-		for _, a := range mc.attempts {
-			if !a.exited && a.job.Team == team {
-				r = r.Add(a.job.Request)
-			}
-		}
-	}
-	return r
-}
-
 // teamRoom is what a team may still start in a shard. A shard that cannot see
 // all that an earlier claim started may start nothing of a limited team.
 func (m *Member) teamRoom(s *shard, team string) (availability.Room, bool) {
@@ -55,15 +39,15 @@
 	if !limited {
 		return availability.Room{}, false
 	}
-	for _, mc := range m.machines {
+	for _, mc := range s.machines {
 		// Tasks of a job that is over may still be on a machine, and whose
 		// they are is no longer known: until they are stopped they may be
 		// this team's.
-		if mc.rec.Shard == s.name && (!mc.settled() || mc.strays > 0 && !mc.lost) {
+		if !mc.settled() || mc.strays > 0 && !mc.lost {
 			return availability.Room{}, true
 		}
 	}
-	use := m.teamUse(s, team)
+	use := s.use[team]
 	r := availability.Room{CPUs: p.CPUs - use.CPUs, GPUs: p.GPUs - use.GPUs, MemoryGB: 1e12}
 	if t.MaxCPUs <= 0 {
 		r.CPUs = 1e12
@@ -95,8 +79,8 @@
 	if t.MaxCPUs <= 0 && t.MaxGPUs <= 0 || m.teamBusy[j.Team] || !m.authority() {
 		return
 	}
-	for _, mc := range m.machines {
-		if mc.rec.Shard == s.name && !mc.settled() {
+	for _, mc := range s.machines {
+		if !mc.settled() {
 			return
 		}
 	}
@@ -121,15 +105,10 @@
 			continue
 		}
 		queued := availability.Room{}
-		for _, j := range m.jobs {
-			if j.rec.Job.Team != name {
-				continue
-			}
-			for _, w := range j.works {
-				if w.shard == s.name {
-					queued.CPUs += float64(w.pending()) * j.rec.Job.Request.CPUs
-					queued.GPUs += float64(w.pending()) * j.rec.Job.Request.GPUs
-				}
+		for _, w := range s.works {
+			if j := &w.job.rec.Job; j.Team == name {
+				queued.CPUs += float64(w.pending()) * j.Request.CPUs
+				queued.GPUs += float64(w.pending()) * j.Request.GPUs
 			}
 		}
 		spare := amounts{max(0, r.CPUs-queued.CPUs), max(0, r.GPUs-queued.GPUs)}
--- a/scheduler/users.go
+++ b/scheduler/users.go
@@ -102,10 +102,11 @@
 		left += r.Hi - r.Lo
 	}
 	a.Done = rec.Job.Tasks - left
-	for _, s := range m.mine {
-		c := m.counts(s)[id]
-		a.Running += c.Running
-		a.Done += c.Done
+	if j := m.jobs[id]; j != nil {
+		for _, w := range j.works {
+			a.Running += w.running
+			a.Done += w.nDone
+		}
 	}
 	for _, p := range m.peers {
 		for _, sr := range p.msg.Shards {
@@ -126,25 +127,12 @@
 // counts is how far each live job is in a shard.
 func (m *Member) counts(s *shard) map[string]Counts {
 	out := map[string]Counts{}
-	for id, j := range m.jobs {
-		for _, w := range j.works {
-			if w.shard == s.name && w.nDone > 0 {
-				c := out[id]
-				c.Done += w.nDone
-				out[id] = c
-			}
-		}
-	}
-	for _, mc := range m.machines {
-		if mc.rec.Shard != s.name {
-			continue
-		}
-		for _, a := range mc.attempts {
-			if a.running && !a.exited && m.jobs[a.job.ID] != nil {
-				c := out[a.job.ID]
-				c.Running++
-				out[a.job.ID] = c
-			}
+	for _, w := range s.works {
+		if w.running > 0 || w.nDone > 0 {
+			c := out[w.job.rec.Job.ID]
+			c.Running += w.running
+			c.Done += w.nDone
+			out[w.job.rec.Job.ID] = c
 		}
 	}
 	return out
