Encode a peer's message once, in less bytes, with a bound of its own

Cause: a summary was encoded for every peer, and a message of two shards passed the 64 KiB of user requests, so a member that adopted could not be heard.

--- a/availability/function.go
+++ b/availability/function.go
@@ -4,8 +4,9 @@
 
 // Sample is one point of a sampled l(δ).
 type Sample struct {
-	At   int64 `msgpack:"a"`
-	Free int64 `msgpack:"f"`
+	_msgpack struct{} `msgpack:",as_array"`
+	At       int64
+	Free     int64
 }
 
 // Room is what a queue's tasks may take of their machine. The paper has memory
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,7 +28,7 @@
 
 // New returns the server of the front address.
 func New(core Core, sockets int) *fiber.App {
-	app := NewApp(sockets)
+	app := NewApp(sockets, wire.MaxBody)
 	app.Get("/up", func(c *fiber.Ctx) error {
 		if !core.Up() {
 			return c.SendStatus(fiber.StatusServiceUnavailable)
@@ -60,9 +60,9 @@
 }
 
 // NewApp returns a server with this project's limits and errors in JSON.
-func NewApp(sockets int) *fiber.App {
+func NewApp(sockets, body int) *fiber.App {
 	return fiber.New(fiber.Config{
-		DisableStartupMessage: true, BodyLimit: wire.MaxBody, Concurrency: max(16, sockets*3/4), ServerHeader: "",
+		DisableStartupMessage: true, BodyLimit: body, Concurrency: max(16, sockets*3/4), ServerHeader: "",
 		DisableDefaultDate: true, ReadBufferSize: 4096, WriteBufferSize: 4096, ReduceMemoryUsage: false,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			status := fiber.StatusInternalServerError
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -24,9 +24,13 @@
 	Admin
 }
 
+// maxMessage bounds a peer's message. A summary of 125 functions takes some
+// 40 KB, and a member that adopted shards sends one for each.
+const maxMessage = 1 << 20
+
 // Server returns the server of the mesh address.
 func Server(core Core, sockets int) *fiber.App {
-	app := front.NewApp(sockets)
+	app := front.NewApp(sockets, maxMessage)
 	serveAdmin(app, core)
 	app.Post("/peer", func(c *fiber.Ctx) error {
 		var msg scheduler.PeerMessage
@@ -48,7 +52,7 @@
 type peer struct {
 	client *rest.Client
 	busy   bool
-	next   *scheduler.PeerMessage
+	next   []byte
 }
 
 // timeout bounds the sending of a message; the next one says all anew.
@@ -63,35 +67,35 @@
 	return p
 }
 
-// Send sends a message, or keeps it until the one under way is done: only the
-// newest matters.
-func (p *Peers) Send(to string, msg scheduler.PeerMessage) {
+// Send sends a message to all others, or keeps it until the one under way is
+// done: only the newest matters. It is encoded once for all.
+func (p *Peers) Send(msg *scheduler.PeerMessage) {
+	body, err := msgpack.Marshal(msg)
+	if err != nil {
+		return // nothing in a message cannot be encoded
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q := p.peers[to]
-	if q == nil {
-		return
-	}
-	if q.busy {
-		q.next = &msg
-		return
+	for _, q := range p.peers {
+		if q.busy {
+			q.next = body
+			continue
+		}
+		q.busy = true
+		go p.run(q, body)
 	}
-	q.busy = true
-	go p.run(q, msg)
 }
 
-func (p *Peers) run(q *peer, msg scheduler.PeerMessage) {
+func (p *Peers) run(q *peer, body []byte) {
 	for {
-		if body, err := msgpack.Marshal(&msg); err == nil {
-			q.client.DoType(wire.Request{Method: "POST", Path: "/peer", Body: body}, msgpackType, timeout)
-		}
+		q.client.DoType(wire.Request{Method: "POST", Path: "/peer", Body: body}, msgpackType, timeout)
 		p.mu.Lock()
 		if q.next == nil {
 			q.busy = false
 			p.mu.Unlock()
 			return
 		}
-		msg, q.next = *q.next, nil
+		body, q.next = q.next, nil
 		p.mu.Unlock()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,8 +167,8 @@
 	for _, d := range o.Do {
 		go n.do(d)
 	}
-	for to, msg := range o.Peers {
-		n.peers.Send(to, msg)
+	if o.Peers != nil {
+		n.peers.Send(o.Peers)
 	}
 	n.up.Store(n.core.Usable())
 }
--- a/scheduler/io.go
+++ b/scheduler/io.go
@@ -228,7 +228,7 @@
 type PeerMessage struct {
 	From   string        `msgpack:"from"`
 	Wall   int64         `msgpack:"wall"`
-	Wants  bool          `msgpack:"wants"` // asks for its own shard back
+	Wants  string        `msgpack:"wants"` // the member that is asked to hand the sender's shard back
 	Shards []ShardReport `msgpack:"shards"`
 }
 
@@ -280,6 +280,6 @@
 	Do      []Do
 	Workers map[uint64]WorkerAnswer
 	Users   map[uint64]UserAnswer
-	Peers   map[string]PeerMessage
+	Peers   *PeerMessage // to all others
 	Logs    []LogLine
 }
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -25,15 +25,10 @@
 			}
 		}
 	}
-	holder := m.shards[m.p.Member].Holder
-	if m.out.Peers == nil {
-		m.out.Peers = map[string]PeerMessage{}
-	}
-	for _, p := range m.p.Peers {
-		out := msg
-		out.Wants = holder == p && m.hold != 0
-		m.out.Peers[p] = out
+	if holder := m.shards[m.p.Member].Holder; holder != m.p.Member && m.hold != 0 {
+		msg.Wants = holder
 	}
+	m.out.Peers = &msg
 	m.peers[m.p.Member] = &peerState{at: m.now.Steady, wall: m.now.Wall, msg: msg}
 }
 
@@ -44,7 +39,7 @@
 		return // overtaken by a newer one
 	}
 	m.peers[msg.From] = &peerState{at: now.Steady, wall: msg.Wall, msg: msg}
-	if msg.Wants {
+	if msg.Wants == m.p.Member {
 		if s := m.mine[msg.From]; s != nil && s.name != m.p.Member {
 			m.release(s)
 		}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -299,10 +299,10 @@
 		w.hop(m.name, "w"+d.Machine, func() { w.runDo(m, epoch, h, d) })
 		w.after(simTimeout, m.live(epoch, func() { m.core.DoDone(m.clock(), d.ID, scheduler.DoResult{Outcome: scheduler.Unknown}) }))
 	}
-	for _, to := range slices.Sorted(maps.Keys(o.Peers)) {
-		msg := o.Peers[to]
+	if o.Peers != nil {
+		msg := *o.Peers
 		for _, p := range w.members {
-			if p.name != to {
+			if p == m {
 				continue
 			}
 			times := 1
