Rosters, lists of machines that are up, pages of progress

Cause: each machine cost four changed keys from rental to return and each range one every few seconds; at 20 and 50 changes a second starts, accepts and returns queued behind each other. Now the lead alone writes rosters (one key for the machines that came together), a holder lists what is up, progress of many ranges shares four pages, and returns are asked for by peers' messages. A shard is ready only when the mirror has passed its claim: what the earlier claim listed as up last of all may run tasks (guard in tickShard).

--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -58,7 +58,7 @@
 	}
 	for id, mc := range m.machines {
 		st.Machines = append(st.Machines, MachineStatus{ID: id, Shard: mc.rec.Shard, Type: mc.rec.Type, Zone: mc.rec.Zone, Spot: mc.rec.Spot,
-			Up: mc.rec.Up, Draining: mc.rec.Draining, Silent: mc.lost, Tasks: mc.live})
+			Up: mc.up, Draining: mc.returning, Silent: mc.lost, Tasks: mc.live})
 	}
 	slices.SortFunc(st.Machines, func(a, b MachineStatus) int { return strings.Compare(a.ID, b.ID) })
 	return st
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -28,8 +28,18 @@
 	needsAfter  map[string]int64 // shard: needs told before this are out of date
 	refused     map[offer]int64  // steady time until which not to ask
 	listed      map[string]bool
-	registering map[string]bool
+	leaving     map[string]bool  // machines that are to be returned
 	returned    map[string]int64 // machine: when it was returned
+
+	// What is to be written to the rosters.
+	rosters   int
+	additions []*addition
+	removals  map[string]bool
+	adding    map[string]bool // machines that were found or rented and have no roster yet
+	found     []Report        // machines that reported and that nobody knows
+	nextFound int64
+	writing   bool
+	nextWrite int64
 }
 
 // offer is a kind of machine in a zone, as the cloud rents it.
@@ -40,8 +50,8 @@
 
 func (f *fleet) init() {
 	f.renting, f.needsAfter = map[string]int{}, map[string]int64{}
-	f.refused, f.registering = map[offer]int64{}, map[string]bool{}
-	f.returned = map[string]int64{}
+	f.refused, f.returned = map[offer]int64{}, map[string]int64{}
+	f.leaving, f.removals, f.adding = map[string]bool{}, map[string]bool{}, map[string]bool{}
 }
 
 func (m *Member) tickFleet() {
@@ -60,15 +70,17 @@
 		m.claimLead()
 		return
 	}
-	if !f.leading {
+	if !m.mayLead() {
 		return
 	}
+	m.recordFound()
+	m.writeRosters()
 	if now >= f.nextList && !f.listing {
 		f.listing = true
 		m.listMachines("", nil, now)
 	}
 	if now >= f.nextRelease && !f.releasing {
-		m.releaseDraining()
+		m.releaseMachines()
 	}
 	if now >= f.nextRent {
 		f.nextRent = now + 500
@@ -95,6 +107,11 @@
 			f.leading, f.rev = true, r.Rev
 			f.nextList = m.now.Steady
 			clear(f.renting)
+			// What an earlier lead of ours left is the cloud list's to tell.
+			f.additions, f.found, f.writing = nil, nil, false
+			clear(f.adding)
+			clear(f.removals)
+			clear(f.leaving)
 			m.log(Info, "leading the fleet", "revision", r.Rev)
 		} else {
 			m.reread(leadKey, func(StoreResult) {})
@@ -128,80 +145,6 @@
 	}
 }
 
-// register takes in a machine that no record names: one that was there before
-// us, or a rental that was executed late. The shard with the least of its kind
-// gets it.
-func (m *Member) register(reply uint64, r Report) {
-	if len(m.types) == 0 || m.types[r.Type] == nil || m.tombs[machineKey(r.Machine)] != 0 {
-		m.answer(reply, WorkerAnswer{})
-		return
-	}
-	m.waiting[r.Machine] = append(m.waiting[r.Machine], waiter{reply, r})
-	if len(m.waiting[r.Machine]) > 1 {
-		return
-	}
-	rec := machineRecord{Shard: m.poorest(r.Type), Type: r.Type, Zone: r.Zone, Spot: r.Spot, Addr: r.Addr, Up: true, Rented: m.now.Wall}
-	m.log(Info, "machine registered", "machine", r.Machine, "type", r.Type, "shard", rec.Shard)
-	key := machineKey(r.Machine)
-	m.txn(Answers, []Guard{{key, 0}}, []Change{{Key: key, Value: encode(rec)}}, func(res StoreResult) {
-		if res.Outcome == OK {
-			return // the mirror has it, and the reports are answered
-		}
-		if res.Outcome == Conflict || res.Outcome == Unknown {
-			m.reread(key, func(StoreResult) { m.dropWaiting(r.Machine) })
-			return
-		}
-		m.dropWaiting(r.Machine)
-	})
-}
-
-func (m *Member) answerWaiting(id string) {
-	ws := m.waiting[id]
-	delete(m.waiting, id)
-	for _, w := range ws {
-		m.report(w.reply, w.report)
-	}
-}
-
-func (m *Member) dropWaiting(id string) {
-	ws := m.waiting[id]
-	delete(m.waiting, id)
-	for _, w := range ws {
-		m.answer(w.reply, WorkerAnswer{})
-	}
-}
-
-// poorest is the shard with the least machines of a type, for its processors.
-func (m *Member) poorest(typ string) string {
-	type load struct{ same, all float64 }
-	loads := map[string]*load{}
-	for _, n := range m.members() {
-		loads[n] = &load{}
-	}
-	for _, mc := range m.machines {
-		if l := loads[mc.rec.Shard]; l != nil && !mc.rec.Draining {
-			l.all += roomOf(m.types[mc.rec.Type]).CPUs
-			if mc.rec.Type == typ {
-				l.same++
-			}
-		}
-	}
-	best := ""
-	for _, n := range m.members() {
-		if _, held := m.shards[n]; !held && len(m.shards) > 0 {
-			continue
-		}
-		l := loads[n]
-		if best == "" || l.all < loads[best].all || l.all == loads[best].all && l.same < loads[best].same {
-			best = n
-		}
-	}
-	if best == "" {
-		best = m.p.Member
-	}
-	return best
-}
-
 // listMachines reads the cloud's list and compares it with the records.
 func (m *Member) listMachines(from string, all []Listed, sent int64) {
 	f := &m.fleet
@@ -239,6 +182,7 @@
 	f := &m.fleet
 	lag := ms(m.p.ListLagS) * 2
 	f.listed = make(map[string]bool, len(list))
+	loads := m.loads()
 	for _, l := range list {
 		f.listed[l.ID] = true
 		mc := m.machines[l.ID]
@@ -253,18 +197,18 @@
 		}
 		if mc == nil {
 			// Nobody expected it. It gets an owner, who uses or returns
-			// it; a rental of ours whose records are being written is
+			// it; a rental of ours whose rosters are being written is
 			// given the time to be written.
-			if ms(l.AgeS) > lag+5000 && !f.registering[l.ID] && l.State != "failed" && m.types[l.Type] != nil {
-				m.recordMachines([]string{l.ID}, offer{l.Type, l.Zone, l.Spot}, m.poorest(l.Type), m.now.Wall-ms(l.AgeS), func() {})
+			if ms(l.AgeS) > lag+5000 && !f.adding[l.ID] && l.State != "failed" && m.types[l.Type] != nil {
+				m.addMachines([]string{l.ID}, offer{l.Type, l.Zone, l.Spot}, m.poorest(loads, l.Type), m.now.Wall-ms(l.AgeS), func() {})
 			}
-			if l.State == "failed" && !f.registering[l.ID] {
-				m.returnNow([]string{l.ID})
+			if l.State == "failed" && !f.adding[l.ID] {
+				m.giveBack(l.ID, "failed")
 			}
 			continue
 		}
-		if l.State == "failed" && !mc.rec.Draining {
-			m.leadDrain(mc, "failed")
+		if l.State == "failed" {
+			m.giveBack(l.ID, "failed")
 		}
 	}
 	for id, at := range f.returned {
@@ -273,137 +217,16 @@
 		}
 	}
 	for id, mc := range inOrder(m.machines) {
-		if mc.rec.Up && !mc.rec.Draining && !f.listed[id] && m.now.Wall-mc.rec.Rented > lag+5000 {
+		t := m.types[mc.rec.Type]
+		switch {
+		case mc.up && !f.listed[id] && m.now.Wall-mc.rec.Rented > lag+5000:
 			// Listed machines stay listed until they are gone, so this one
 			// is: its tasks need not wait for its lease, nor a new claim
 			// for a report that never comes. Returning it makes it certain.
-			m.leadDrain(mc, "no longer listed")
-			continue
-		}
-		t := m.types[mc.rec.Type]
-		if mc.rec.Up || mc.rec.Draining || t == nil {
-			continue
-		}
-		if m.now.Wall-mc.rec.Rented > ms(t.BootS)*bootPatience+lag {
-			m.leadDrain(mc, "does not come up")
-		}
-	}
-}
-
-// leadDrain marks a machine that has no tasks: one that never came up, or one
-// that failed. The mark stops its owner from starting anything there, since
-// the owner's own writes on the record fail from then on.
-func (m *Member) leadDrain(mc *machine, why string) {
-	if mc.busy {
-		return
-	}
-	rec := mc.rec
-	rec.Draining = true
-	mc.busy = true
-	key := machineKey(mc.id)
-	m.log(Info, "machine draining", "machine", mc.id, "type", rec.Type, "why", why)
-	m.txn(Answers, []Guard{{leadKey, m.fleet.rev}, {key, mc.rev}}, []Change{{Key: key, Value: encode(rec)}}, func(r StoreResult) {
-		mc.busy = false
-		if r.Outcome != OK {
-			m.reread(key, func(StoreResult) {})
-		}
-	})
-}
-
-func (m *Member) returnNow(ids []string) {
-	m.askCloud(CloudOp{Kind: CloudRelease, Machines: ids}, func(CloudResult) {})
-}
-
-// releaseDraining returns the machines that their owners gave up. By the time
-// of the answer they are gone with everything on them, which the removal of
-// their records tells the owners.
-func (m *Member) releaseDraining() {
-	f := &m.fleet
-	var ids []string
-	for id, mc := range m.machines {
-		if mc.rec.Draining {
-			ids = append(ids, id)
-		}
-	}
-	if len(ids) == 0 {
-		return
-	}
-	sort.Strings(ids)
-	ids = ids[:min(len(ids), 100, m.p.TxnOps)]
-	f.releasing = true
-	m.askCloud(CloudOp{Kind: CloudRelease, Machines: ids}, func(r CloudResult) {
-		if r.Outcome != OK {
-			f.releasing = false
-			f.nextRelease = m.now.Steady + 1000
-			return
-		}
-		m.Counters.Returned += uint64(len(ids))
-		for _, id := range ids {
-			f.returned[id] = m.now.Steady
-		}
-		m.log(Info, "machines returned", "machines", ids)
-		var guards []Guard
-		var changes []Change
-		for _, id := range ids {
-			if rev := m.revs[machineKey(id)]; rev != 0 {
-				guards = append(guards, Guard{machineKey(id), rev})
-				changes = append(changes, Change{Key: machineKey(id)})
-			}
+			m.giveBack(id, "no longer listed")
+		case !mc.up && t != nil && m.now.Wall-mc.rec.Rented > ms(t.BootS)*bootPatience+lag:
+			m.giveBack(id, "does not come up")
 		}
-		if len(changes) == 0 {
-			f.releasing = false
-			return
-		}
-		m.txn(Answers, guards, changes, func(r StoreResult) {
-			f.releasing = false
-			f.nextRelease = m.now.Steady + 300
-			if r.Outcome != OK && len(ids) > 0 {
-				m.reread(machineKey(ids[m.rng.IntN(len(ids))]), func(StoreResult) {})
-			}
-		})
-	})
-}
-
-// recordMachines gives machines an owner.
-func (m *Member) recordMachines(ids []string, o offer, shard string, rented int64, done func()) {
-	f := &m.fleet
-	for len(ids) > 0 {
-		part := ids[:min(len(ids), m.p.TxnOps)]
-		ids = ids[len(part):]
-		last := len(ids) == 0
-		var send func(try int)
-		send = func(try int) {
-			var guards []Guard
-			var changes []Change
-			for _, id := range part {
-				f.registering[id] = true
-				if m.machines[id] != nil {
-					continue
-				}
-				guards = append(guards, Guard{machineKey(id), 0})
-				changes = append(changes, Change{Key: machineKey(id), Value: encode(machineRecord{Shard: shard, Type: o.typ, Zone: o.zone, Spot: o.spot, Rented: rented})})
-			}
-			finish := func() {
-				for _, id := range part {
-					delete(f.registering, id)
-				}
-				if last {
-					done()
-				}
-			}
-			if len(changes) == 0 {
-				finish()
-				return
-			}
-			m.txn(Answers, guards, changes, func(r StoreResult) {
-				if r.Outcome == OK || try == 0 || !f.leading {
-					finish()
-					return
-				}
-				m.reread(guards[0].Key, func(StoreResult) { send(try - 1) })
-			})
-		}
-		send(5)
 	}
 }
 
@@ -582,10 +405,7 @@
 				}
 				m.Counters.Rented += uint64(len(r.Machines))
 				m.log(Info, "machines rented", "type", o.typ, "zone", o.zone, "spot", o.spot, "asked", n, "got", r.Machines, "shard", shard)
-				m.recordMachines(r.Machines, o, shard, asked, end)
-				if len(r.Machines) == 0 {
-					end()
-				}
+				m.addMachines(r.Machines, o, shard, asked, end)
 			case NotFound:
 				m.log(Debug, "no capacity", "type", o.typ, "zone", o.zone, "spot", o.spot)
 				refuse()
--- a/scheduler/io.go
+++ b/scheduler/io.go
@@ -238,6 +238,7 @@
 	Summary availability.Summary `msgpack:"summary"`
 	Needs   []Need               `msgpack:"needs"`
 	Running map[string]Counts    `msgpack:"running"`
+	Returns []string             `msgpack:"returns"` // machines that the lead is to return
 }
 
 // Counts is how far a job's tasks in one shard are.
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -59,10 +59,9 @@
 // member that holds the machine's shard.
 type machine struct {
 	id     string
-	rec    machineRecord
-	rev    uint64
-	busy   bool // a write on its record is under way
-	nextWr int64
+	rec    *rosterRecord // shared by all machines of the roster
+	roster string        // its key
+	up     bool          // listed as up: tasks may be on it
 
 	token        uint64 // the claim under which the rest was learnt
 	session, seq uint64
@@ -81,9 +80,11 @@
 	idleAt       int64            // steady time since when nothing runs
 	plan         []planned
 	commands     []Command
-	drained      bool
-	doing        bool // commands to the worker itself are under way
-	strays       int  // tasks on it that are not ours to keep and not gone yet
+	drained      bool   // takes no more starts
+	returning    bool   // the lead is asked to return it
+	addr         string // as it last reported
+	doing        bool   // commands to the worker itself are under way
+	strays       int    // tasks on it that are not ours to keep and not gone yet
 }
 
 // planned is a start that the plan wants on a machine now.
@@ -94,22 +95,25 @@
 	fetch  int64
 }
 
-func (m *Member) machineChanged(id string, rec machineRecord, rev uint64) {
+// machineKnown takes in a machine that a roster names.
+func (m *Member) machineKnown(id, key string, rec *rosterRecord) {
 	mc := m.machines[id]
 	if mc == nil {
-		mc = &machine{id: id}
+		mc = &machine{id: id, rec: rec, roster: key}
+		for k, list := range m.ups {
+			if strings.HasPrefix(k, upPrefix+rec.Shard+"/") && slices.Contains(list, id) {
+				mc.up = true
+			}
+		}
 		m.machines[id] = mc
-		mc.rec, mc.rev = rec, rev
-		m.resetMachine(id, mc)
+		m.resetMachine(mc)
 		if s := m.mine[rec.Shard]; s != nil {
 			at, _ := slices.BinarySearchFunc(s.machines, id, (*machine).compare)
 			s.machines = slices.Insert(s.machines, at, mc)
+			s.dirty = true
 		}
 	}
-	mc.rec, mc.rev = rec, rev
-	if s := m.mine[rec.Shard]; s != nil {
-		s.dirty = true
-	}
+	mc.rec, mc.roster = rec, key
 	m.answerWaiting(id)
 }
 
@@ -117,18 +121,18 @@
 
 // resetMachine forgets what an earlier claim knew of a machine. Silence counts
 // from here: whoever answered it before did so before this claim.
-func (m *Member) resetMachine(id string, mc *machine) {
+func (m *Member) resetMachine(mc *machine) {
 	for _, a := range mc.attempts {
 		m.end(mc, a)
 	}
-	*mc = machine{id: id, rec: mc.rec, rev: mc.rev, busy: mc.busy, last: m.now.Steady, idleAt: m.now.Steady,
+	*mc = machine{id: mc.id, rec: mc.rec, roster: mc.roster, up: mc.up, last: m.now.Steady, idleAt: m.now.Steady,
 		attempts: map[attemptKey]*attempt{}, images: map[string]int64{}, faults: map[string]bool{}, pm: mc.pm}
 	if s := m.mine[mc.rec.Shard]; s != nil {
 		mc.token = s.base
 	}
 }
 
-// machineGone handles the removal of a machine's record, which follows only
+// machineGone handles the removal of a machine from its roster, which follows only
 // the cloud's word that the machine is gone with everything on it.
 func (m *Member) machineGone(id string) {
 	mc := m.machines[id]
@@ -188,11 +192,11 @@
 
 // settled tells whether nothing that an earlier claim started can still run on
 // the machine without our knowing it.
-func (mc *machine) settled() bool { return !mc.rec.Up || mc.confirmed || mc.lost }
+func (mc *machine) settled() bool { return !mc.up || mc.confirmed || mc.lost }
 
 // usable tells whether starts may go to the machine.
 func (m *Member) usable(mc *machine) bool {
-	return !mc.rec.Draining && !mc.drained && !mc.lost && mc.goneAt == 0 && m.now.Steady >= mc.full && m.types[mc.rec.Type] != nil
+	return !mc.drained && !mc.lost && mc.goneAt == 0 && m.now.Steady >= mc.full && m.types[mc.rec.Type] != nil
 }
 
 // leaseEnd is when a machine that has been silent since its last report has
@@ -206,7 +210,7 @@
 func (m *Member) tickMachine(s *shard, mc *machine) {
 	now := m.now.Steady
 	t := m.types[mc.rec.Type]
-	if mc.rec.Up && !mc.lost && now > m.leaseEnd(mc) {
+	if mc.up && !mc.lost && now > m.leaseEnd(mc) {
 		mc.lost = true
 		lostTasks := mc.live
 		for _, a := range mc.attempts {
@@ -233,7 +237,7 @@
 			m.drain(s, mc, "drained by an operator")
 		}
 	}
-	if t == nil || !mc.rec.Up || mc.live > 0 {
+	if t == nil || !mc.up || mc.live > 0 {
 		return
 	}
 	if mc.confirmed && len(mc.faults) >= 2 {
@@ -264,30 +268,16 @@
 // reportGap is the longest time between two reports of a machine that is well.
 func (m *Member) reportGap() int64 { return ms(m.p.ReportS*1.25) + 500 }
 
-// drain marks a machine as leaving. From the moment the write is sent nothing
-// starts there; the lead returns the machine once the mark is stored.
+// drain gives a machine up: nothing starts there any more, and every message to
+// the lead asks for its return until the rosters have it no longer. A claim that
+// follows this one may not know and use the machine again; what it starts there
+// is over when the machine is returned, like on any machine that is lost.
 func (m *Member) drain(s *shard, mc *machine, why string) {
-	if mc.rec.Draining || mc.busy || m.now.Steady < mc.nextWr || !m.authority() {
+	if mc.returning || !m.authority() {
 		return
 	}
-	rec := mc.rec
-	rec.Draining = true
-	mc.drained = true
-	mc.busy = true
-	m.log(Info, "machine draining", "machine", mc.id, "type", rec.Type, "why", why)
-	m.writeMachine(s, mc, rec)
-}
-
-func (m *Member) writeMachine(s *shard, mc *machine, rec machineRecord) {
-	key := machineKey(mc.id)
-	m.txn(Answers, []Guard{{shardKey(s.name), s.token}, {key, mc.rev}}, []Change{{Key: key, Value: encode(rec)}}, func(r StoreResult) {
-		mc.busy = false
-		mc.nextWr = m.now.Steady + 300
-		if r.Outcome == Unknown || r.Outcome == Conflict {
-			mc.busy = true
-			m.reread(key, func(StoreResult) { mc.busy = false })
-		}
-	})
+	mc.drained, mc.returning = true, true
+	m.log(Info, "machine draining", "machine", mc.id, "type", mc.rec.Type, "why", why)
 }
 
 // Report takes a worker's report; reply names it in the outputs' answers.
@@ -329,7 +319,7 @@
 		return
 	}
 	if mc.token != s.base {
-		m.resetMachine(r.Machine, mc)
+		m.resetMachine(mc)
 	}
 	// Every answer that the worker may accept renews its lease, also one to a
 	// report that a direct command's answer has overtaken: counted from an
@@ -370,11 +360,10 @@
 		mc.goneAt = 0
 	}
 	m.takeTasks(s, mc, &r)
-	if (!mc.rec.Up || mc.rec.Addr != r.Addr) && !mc.busy && m.now.Steady >= mc.nextWr && !mc.rec.Draining {
-		rec := mc.rec
-		rec.Up, rec.Addr = true, r.Addr
-		mc.busy = true
-		m.writeMachine(s, mc, rec)
+	mc.addr = r.Addr
+	if !mc.up && !mc.returning && !slices.Contains(s.upNew, mc.id) {
+		s.upNew = append(s.upNew, mc.id)
+		m.writeUps(s)
 	}
 	m.starts(s, mc, &r)
 	m.pick(s, mc, &r)
@@ -605,7 +594,7 @@
 // startNow sends urgent starts straight to their workers.
 func (m *Member) startNow(s *shard) {
 	for _, mc := range s.machines {
-		if len(mc.plan) == 0 || mc.doing || !mc.heard || mc.rec.Addr == "" {
+		if len(mc.plan) == 0 || mc.doing || !mc.heard || mc.addr == "" {
 			continue
 		}
 		if now := m.now.Steady; now-mc.last > m.reportGap() {
@@ -673,7 +662,7 @@
 			m.raise(s)
 		}
 	}
-	m.out.Do = append(m.out.Do, Do{ID: id, Addr: mc.rec.Addr, Machine: mc.id, Token: s.token, Session: mc.session,
+	m.out.Do = append(m.out.Do, Do{ID: id, Addr: mc.addr, Machine: mc.id, Token: s.token, Session: mc.session,
 		Commands: append([]Command(nil), mc.commands...)})
 }
 
@@ -688,7 +677,7 @@
 
 // starts turns the plan's starts on this machine into commands.
 func (m *Member) starts(s *shard, mc *machine, r *Report) {
-	if !m.usable(mc) || !mc.rec.Up || !mc.confirmed || !m.authority() {
+	if !m.usable(mc) || !mc.up || !mc.confirmed || !m.authority() {
 		return
 	}
 	plan := mc.plan
@@ -729,7 +718,7 @@
 // start behind it in time: l(δ) once more, with the passed-over task behind the
 // insertion point.
 func (m *Member) pick(s *shard, mc *machine, r *Report) {
-	if len(s.queue) == 0 || !m.usable(mc) || !mc.rec.Up || !mc.confirmed || !m.authority() {
+	if len(s.queue) == 0 || !m.usable(mc) || !mc.up || !mc.confirmed || !m.authority() {
 		return
 	}
 	free := m.room(mc)
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -110,6 +110,8 @@
 	tombs     map[string]uint64 // removals that the watch has not passed yet
 	jobs      map[string]*job
 	machines  map[string]*machine
+	rosters   map[string]*roster  // by key
+	ups       map[string][]string // machines that are up, by the key of their list
 	shards    map[string]shardRecord
 	teams     map[string]teamRecord
 	lead      string
@@ -164,6 +166,7 @@
 type waiter struct {
 	reply  uint64
 	report Report
+	at     int64
 }
 
 type peerState struct {
@@ -185,6 +188,7 @@
 		p: p, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), now: now, started: now.Steady,
 		store: map[uint64]func(StoreResult){}, clouds: map[uint64]func(CloudResult){}, dos: map[uint64]func(DoResult){},
 		revs: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*job{}, machines: map[string]*machine{},
+		rosters: map[string]*roster{}, ups: map[string][]string{},
 		shards: map[string]shardRecord{}, teams: map[string]teamRecord{}, types: map[string]*MachineType{}, onlyType: map[string]bool{},
 		settings: DefaultSettings(), mine: map[string]*shard{}, claiming: map[string]int64{}, absent: map[string]int64{},
 		wants: map[string]int64{}, finals: map[string]finalRecord{}, waiting: map[string][]waiter{},
@@ -435,18 +439,10 @@
 			return
 		}
 		m.jobChanged(id, rec, it.Rev)
-	case strings.HasPrefix(it.Key, machinePrefix):
-		id := it.Key[len(machinePrefix):]
-		if gone {
-			m.machineGone(id)
-			return
-		}
-		var rec machineRecord
-		if err := json.Unmarshal(it.Value, &rec); err != nil {
+	case strings.HasPrefix(it.Key, machinePrefix), strings.HasPrefix(it.Key, upPrefix):
+		if err := m.applyFleet(it); err != nil {
 			bad(err)
-			return
 		}
-		m.machineChanged(id, rec, it.Rev)
 	case strings.HasPrefix(it.Key, shardPrefix):
 		id := it.Key[len(shardPrefix):]
 		var rec shardRecord
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -147,7 +147,8 @@
 	m.mine["m0"] = s
 	m.apply(Item{Key: shardKey("m0"), Value: encode(shardRecord{"m0", 7}), Rev: 11})
 	s.base, s.token = 11, 11
-	m.apply(Item{Key: machineKey("i-1"), Value: encode(machineRecord{Shard: "m0", Type: "small", Zone: "a", Addr: "x", Up: true}), Rev: 12})
+	m.apply(Item{Key: machinePrefix + "1-1", Value: encode(rosterRecord{Shard: "m0", Type: "small", Zone: "a", Machines: []string{"i-1"}}), Rev: 12})
+	m.apply(Item{Key: upPrefix + "m0/0", Value: encode(upRecord{[]string{"i-1"}}), Rev: 12})
 	m.Report(m.now, 1, Report{Machine: "i-1", Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 3, Token: 11})
 	if a := m.Take().Workers[1]; !a.Accepted {
 		t.Fatal("a report of our machine is not taken")
@@ -231,7 +232,7 @@
 		for i := 0; i < r.Hi-r.Lo; i += 2 {
 			done.set(i)
 		}
-		if n := len(encode(progressRecord{done})); n > m.p.ValueBytes {
+		if n := len(encode(progressRecord{map[string][]byte{"job-000001/100000": done}})); n > m.p.ValueBytes {
 			t.Errorf("progress of %v takes %d bytes", r, n)
 		}
 	}
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -20,6 +20,11 @@
 				m.moveLeftovers(s)
 				sr := ShardReport{Shard: s.name, Summary: m.summary(s), Running: m.counts(s)}
 				sr.Needs = append(sr.Needs, s.needs...)
+				for _, mc := range s.machines {
+					if mc.returning {
+						sr.Returns = append(sr.Returns, mc.id)
+					}
+				}
 				msg.Shards = append(msg.Shards, sr)
 				m.logLoad(s)
 			}
@@ -241,19 +246,16 @@
 		rec.Ranges = append(rec.Ranges, Range{r.Hi - n, r.Hi, best, true})
 	}
 	m.log(Debug, "tasks moved", "job", j.rec.Job.ID, "tasks", n, "to", best)
-	m.sendMove(s, w, j, rec, j.rev, n == w.size())
+	m.sendMove(s, w, j, rec, j.rev)
 }
 
 // sendMove writes the move until its outcome is certain. While it is not, none
 // of the range starts here: the tail may be the peer's already.
-func (m *Member) sendMove(s *shard, w *work, j *job, rec jobRecord, rev uint64, all bool) {
+func (m *Member) sendMove(s *shard, w *work, j *job, rec jobRecord, rev uint64) {
 	id := j.rec.Job.ID
 	w.moving, j.busy = true, true
 	changes := []Change{{Key: jobKey(id), Value: encode(rec)}}
 	guards := []Guard{{shardKey(s.name), s.token}, {jobKey(id), rev}}
-	if all && w.progSet {
-		changes = append(changes, Change{Key: progressKey(id, w.rng.Lo)})
-	}
 	m.txn(Answers, guards, changes, func(r StoreResult) {
 		settle := func() {
 			w.moving, j.busy = false, false
@@ -270,7 +272,7 @@
 					settle()
 					return
 				}
-				m.sendMove(s, w, j, rec, rev, all)
+				m.sendMove(s, w, j, rec, rev)
 			})
 		default:
 			settle()
@@ -283,12 +285,12 @@
 func (m *Member) logLoad(s *shard) {
 	var spot, ordinary, booting, running, fetching float64
 	for _, mc := range s.machines {
-		if mc.rec.Draining {
+		if mc.returning {
 			continue
 		}
 		cpus := roomOf(m.types[mc.rec.Type]).CPUs
 		switch {
-		case !mc.rec.Up:
+		case !mc.up:
 			booting += cpus
 		case mc.rec.Spot:
 			spot += cpus
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -130,7 +130,7 @@
 		pm := &mc.pm
 		*pm = planMachine{mc: mc, id: mc.id, typ: t, zone: mc.rec.Zone, spot: mc.rec.Spot, kind: kindKey{t.Name, mc.rec.Zone, mc.rec.Spot},
 			upAt: wall, free: t.Room, up: mc.confirmed, lanes: pm.lanes[:0]}
-		if !mc.rec.Up {
+		if !mc.up {
 			pm.upAt = mc.rec.Rented + ms(t.BootS)
 			if late := wall - pm.upAt; late > 0 {
 				if late > ms(t.BootS)*2 {
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -20,6 +20,7 @@
 	livePrefix     = "l/"
 	jobPrefix      = "l/j/"
 	machinePrefix  = "l/m/"
+	upPrefix       = "l/u/"
 	shardPrefix    = "l/s/"
 	teamPrefix     = "l/t/"
 	leadKey        = "l/lead"
@@ -29,13 +30,10 @@
 	finalPrefix    = "f/"
 )
 
-func jobKey(id string) string     { return jobPrefix + id }
-func finalKey(id string) string   { return finalPrefix + id }
-func machineKey(id string) string { return machinePrefix + id }
-func shardKey(id string) string   { return shardPrefix + id }
-func teamKey(id string) string    { return teamPrefix + id }
-
-func progressKey(job string, lo int) string { return fmt.Sprintf("%s%s/%d", progressPrefix, job, lo) }
+func jobKey(id string) string   { return jobPrefix + id }
+func finalKey(id string) string { return finalPrefix + id }
+func shardKey(id string) string { return shardPrefix + id }
+func teamKey(id string) string  { return teamPrefix + id }
 
 // State is what users are told of a job.
 type State string
@@ -119,22 +117,10 @@
 	Tasks int   `json:"tasks"`
 }
 
-// progressRecord is a range's finished tasks, as a bitmap from Lo on.
+// progressRecord is the finished tasks of some ranges of a shard: a bitmap from
+// Lo on for each, named as the range is.
 type progressRecord struct {
-	Done []byte `json:"done"`
-}
-
-// machineRecord says which shard a machine belongs to. Nothing starts on a
-// machine before Up is stored, so a machine that is not Up has no tasks.
-type machineRecord struct {
-	Shard    string `json:"shard"`
-	Type     string `json:"type"`
-	Zone     string `json:"zone"`
-	Spot     bool   `json:"spot,omitempty"`
-	Addr     string `json:"addr,omitempty"`
-	Up       bool   `json:"up,omitempty"`
-	Draining bool   `json:"draining,omitempty"`
-	Rented   int64  `json:"rented"` // time of day, ms
+	Done map[string][]byte `json:"done"`
 }
 
 // shardRecord is a claim. It hangs on the holder's hold; its revision is the
--- a/scheduler/scale_test.go
+++ b/scheduler/scale_test.go
@@ -44,7 +44,8 @@
 			typ = "large"
 		}
 		id := fmt.Sprintf("i-%06d", i)
-		put(machineKey(id), machineRecord{Shard: "m0", Type: typ, Zone: "a", Spot: i%2 == 0, Addr: "x", Up: true})
+		put(machinePrefix+id, rosterRecord{Shard: "m0", Type: typ, Zone: "a", Spot: i%2 == 0, Machines: []string{id}})
+		put(upPrefix+"m0/"+id, upRecord{[]string{id}})
 		mc := m.machines[id]
 		mc.heard, mc.confirmed, mc.session, mc.seq = true, true, 1, 1
 		for k := range 2 {
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
 	"slices"
 	"strconv"
 	"strings"
@@ -22,6 +23,7 @@
 	at      int64 // steady time of the claim
 	ready   bool  // progress is read
 	reading bool
+	read    bool
 	counter uint64
 	dirty   bool
 	planned int64
@@ -33,6 +35,12 @@
 	machines []*machine
 	works    []*work
 	use      map[string]availability.Room // by team, of live attempts
+	pages    map[string]*page
+
+	// Machines that reported and are not listed as up yet.
+	upNew     []string
+	upWriting bool
+	nextUp    int64
 
 	// The last plan: the machines it considered, and the groups that waited,
 	// in their order.
@@ -48,7 +56,7 @@
 }
 
 func newShard(name string, nonce, rev uint64, now int64) *shard {
-	return &shard{name: name, nonce: nonce, base: rev, token: rev, at: now, dirty: true, use: map[string]availability.Room{}}
+	return &shard{name: name, nonce: nonce, base: rev, token: rev, at: now, dirty: true, use: map[string]availability.Room{}, pages: map[string]*page{}}
 }
 
 // attemptsPerClaim is the room for attempt numbers in one claim. A number is
@@ -63,18 +71,17 @@
 
 // work is a range of a job that a shard of ours runs.
 type work struct {
-	job     *job
-	rng     Range
-	shard   string
-	claim   *shard
-	done    bits
-	nDone   int
-	busy    bits // an attempt has it, running or not known to be over
-	nBusy   int
-	low     int
-	stored  bits // done, as the store has it
-	prog    uint64
-	progSet bool
+	job    *job
+	rng    Range
+	shard  string
+	claim  *shard
+	done   bits
+	nDone  int
+	busy   bits // an attempt has it, running or not known to be over
+	nBusy  int
+	low    int
+	stored bits   // done, as the store has it
+	key    string // of its progress in the store
 
 	// recovered works were run by an earlier claim, so a task of theirs may
 	// still run on any machine that has not spoken under our token.
@@ -232,9 +239,9 @@
 // beginShard takes over what the mirror says the shard owns. The path is the
 // same for a first start, a restart, an adoption and a hand-back.
 func (m *Member) beginShard(s *shard) {
-	for id, mc := range inOrder(m.machines) {
+	for _, mc := range inOrder(m.machines) {
 		if mc.rec.Shard == s.name {
-			m.resetMachine(id, mc)
+			m.resetMachine(mc)
 			s.machines = append(s.machines, mc)
 		}
 	}
@@ -249,37 +256,32 @@
 		return
 	}
 	s.reading = true
-	m.list(progressPrefix, func(items []Item, _ uint64, ok bool) {
+	m.list(progressPrefix+s.name+"/", func(items []Item, _ uint64, ok bool) {
 		s.reading = false
 		if !ok || m.mine[s.name] != s {
 			s.planned = m.now.Steady
 			return
 		}
+		done := map[string][]byte{}
 		for _, it := range items {
-			id, lo, ok := strings.Cut(it.Key[len(progressPrefix):], "/")
-			n, err := strconv.Atoi(lo)
-			j := m.jobs[id]
-			if !ok || err != nil || j == nil {
-				continue
-			}
-			w := j.works[n]
-			if w == nil || w.shard != s.name || w.progSet {
-				continue
-			}
 			var rec progressRecord
 			if json.Unmarshal(it.Value, &rec) != nil {
 				continue
 			}
-			w.prog, w.progSet = it.Rev, true
+			s.page(it.Key).rev = it.Rev
+			for name, d := range rec.Done {
+				done[name] = d
+			}
+		}
+		for _, w := range s.works {
 			for i := range w.size() {
-				if bits(rec.Done).has(i) {
+				if bits(done[w.name()]).has(i) {
 					w.stored.set(i)
 					w.finish(i)
 				}
 			}
 		}
-		s.ready, s.dirty = true, true
-		m.log(Info, "shard ready", "shard", s.name)
+		s.read = true
 	})
 }
 
@@ -357,6 +359,9 @@
 func (m *Member) dropWork(w *work) {
 	s := w.claim
 	s.dirty = true
+	if p := s.pages[w.key]; p != nil && p.rev != 0 && strings.HasSuffix(w.key, w.name()) {
+		p.dirty = true // a page of its own goes with it
+	}
 	if at, ok := slices.BinarySearchFunc(s.works, w, (*work).compare); ok && s.works[at] == w {
 		s.works = slices.Delete(s.works, at, at+1)
 	}
@@ -423,7 +428,12 @@
 		return
 	}
 	if !s.ready {
-		if !s.reading && now-s.planned > 500 {
+		// The mirror must have passed the claim: a machine that the earlier
+		// claim listed as up last of all may run what would start again.
+		if s.read && m.rev >= s.base {
+			s.ready, s.dirty = true, true
+			m.log(Info, "shard ready", "shard", s.name, "machines", len(s.machines), "ranges", len(s.works))
+		} else if !s.read && !s.reading && now-s.planned > 500 {
 			m.readProgress(s)
 		}
 		return
@@ -442,10 +452,10 @@
 		}
 		if w.nDone == w.size() && w.job.rec.Job.Kind != Service {
 			m.endRange(s, w)
-		} else if w.dirty && now-w.wroteAt > m.progressEvery() {
-			m.writeProgress(s, w)
 		}
 	}
+	m.writeProgress(s)
+	m.writeUps(s)
 	for _, mc := range s.machines {
 		m.tickMachine(s, mc)
 	}
@@ -480,31 +490,110 @@
 	return passed >= max(1000, 2*gap)
 }
 
-func (m *Member) writeProgress(s *shard, w *work) {
-	id := w.job.rec.Job.ID
-	key := progressKey(id, w.rng.Lo)
-	snapshot := append(bits(nil), w.done...)
-	w.writing, w.dirty, w.wroteAt = true, false, m.now.Steady
-	guards := append(m.guard(s, w.job), Guard{key, w.prog})
-	m.txn(Progress, guards, []Change{{Key: key, Value: encode(progressRecord{snapshot})}}, func(r StoreResult) {
-		w.writing = false
-		switch r.Outcome {
-		case OK:
-			w.prog, w.progSet = r.Rev, true
-			w.stored = snapshot
+// page is a value of the store with the progress of several ranges of a shard:
+// one for each would cost a change each, every few seconds.
+type page struct {
+	rev     uint64
+	dirty   bool
+	writing bool
+	next    int64
+}
+
+// pages is how many values the progress of a shard's small ranges is spread over.
+const pages = 4
+
+func (s *shard) page(key string) *page {
+	p := s.pages[key]
+	if p == nil {
+		p = &page{}
+		s.pages[key] = p
+	}
+	return p
+}
+
+// name names a range in its page.
+func (w *work) name() string { return taskName(w.job.rec.Job.ID, w.rng.Lo) }
+
+// pageKey is the value that a range's progress is kept in: one of its own for a
+// large range, which would fill a shared one.
+func (m *Member) pageKey(w *work) string {
+	if w.key == "" {
+		w.key = progressPrefix + w.shard + "/"
+		if name := w.name(); len(w.done) > m.p.ValueBytes/16 {
+			w.key += name
+		} else {
+			h := fnv.New32a()
+			h.Write([]byte(name))
+			w.key += strconv.Itoa(int(h.Sum32() % pages))
+		}
+	}
+	return w.key
+}
+
+// writeProgress writes the pages of a shard that have news.
+func (m *Member) writeProgress(s *shard) {
+	now := m.now.Steady
+	for _, w := range s.works {
+		if w.dirty {
+			s.page(m.pageKey(w)).dirty = true
+		}
+	}
+	for key, p := range inOrder(s.pages) {
+		if p.dirty && !p.writing && now >= p.next {
+			m.writePage(s, key, p)
+		}
+	}
+}
+
+func (m *Member) writePage(s *shard, key string, p *page) {
+	rec := progressRecord{Done: map[string][]byte{}}
+	snaps := map[*work]bits{}
+	size := 0
+	for _, w := range s.works {
+		if w.nDone == 0 || m.pageKey(w) != key {
+			continue
+		}
+		// What does not fit waits until other ranges end: their machines
+		// keep the results.
+		if size += len(w.done)*4/3 + len(w.name()) + 12; size > m.p.ValueBytes-64 {
+			break
+		}
+		snap := append(bits(nil), w.done...)
+		snaps[w], rec.Done[w.name()] = snap, snap
+		w.dirty = false
+	}
+	p.dirty, p.writing, p.next = false, true, m.now.Steady+m.progressEvery()
+	change := Change{Key: key, Value: encode(rec)}
+	if len(rec.Done) == 0 {
+		change.Value = nil
+	}
+	m.txn(Progress, []Guard{{shardKey(s.name), s.token}, {key, p.rev}}, []Change{change}, func(r StoreResult) {
+		p.writing = false
+		if r.Outcome == OK {
+			p.rev = r.Rev
+			if change.Value == nil {
+				delete(s.pages, key)
+			}
+			for w, snap := range snaps {
+				w.stored = snap
+			}
 			return
-		case Unknown, Conflict:
-			w.writing = true
+		}
+		for w := range snaps {
+			w.dirty = true
+		}
+		p.dirty = true
+		if r.Outcome == Unknown || r.Outcome == Conflict {
+			p.writing = true
 			m.reread(key, func(r StoreResult) {
-				w.writing = false
+				p.writing = false
 				if r.Outcome == OK && len(r.Items) == 1 {
-					w.prog, w.progSet = r.Items[0].Rev, true
+					p.rev = r.Items[0].Rev
 				} else if r.Outcome == NotFound {
-					w.prog, w.progSet = 0, false
+					p.rev = 0
 				}
 			})
 		}
-		w.dirty = true
 	})
 }
 
@@ -530,9 +619,6 @@
 		rec.Ranges = rest
 		changes = append(changes, Change{Key: jobKey(id), Value: encode(rec)})
 	}
-	if w.progSet {
-		changes = append(changes, Change{Key: progressKey(id, w.rng.Lo)})
-	}
 	w.writing, j.busy, w.wroteAt = true, true, m.now.Steady
 	m.txn(Answers, guards, changes, func(r StoreResult) {
 		w.writing, j.busy = false, false
--- a/scheduler/users.go
+++ b/scheduler/users.go
@@ -230,11 +230,6 @@
 		}
 		f := finalRecord{State: Cancelled, Tasks: rec.Job.Tasks}
 		changes := []Change{{Key: jobKey(id)}, {Key: finalKey(id), Value: encode(f)}}
-		for _, r := range rec.Ranges {
-			if len(changes) < m.p.TxnOps {
-				changes = append(changes, Change{Key: progressKey(id, r.Lo)})
-			}
-		}
 		m.txn(Answers, []Guard{{jobKey(id), it.Rev}, {finalKey(id), 0}}, changes, func(r StoreResult) {
 			switch {
 			case r.Outcome == OK:
