One call rents for all shards, rentals before lists

Cause: each shard's needs made their own calls of at most ten machines, in the same queue as lists of 1,467 machines in three pages; at 2.5 calls a second the fleet grew over minutes. Now a round asks once for each kind and zone, up to the cloud's 50, the largest first, and rentals and returns go before lists.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
 	"sort"
+	"strings"
 )
 
 // fleet is what the member that leads the fleet keeps: it alone rents and
@@ -48,6 +50,17 @@
 	spot      bool
 }
 
+func (o offer) compare(p offer) int {
+	spot := 0
+	if o.spot != p.spot {
+		spot = 1
+		if o.spot {
+			spot = -1
+		}
+	}
+	return cmp.Or(strings.Compare(o.typ, p.typ), strings.Compare(o.zone, p.zone), spot)
+}
+
 func (f *fleet) init() {
 	f.renting, f.needsAfter = map[string]int{}, map[string]int64{}
 	f.refused, f.returned = map[offer]int64{}, map[string]int64{}
@@ -232,16 +245,18 @@
 
 // virtual is a machine that might be rented, while needs are fitted into it.
 type virtual struct {
-	pm    *planMachine
-	o     offer
-	shard string
+	pm *planMachine
+	o  offer
 }
 
 // rentForNeeds rents what the shards say they lack: per shard, machines are
 // added until the needs fit, each time of the kind that costs least for the
-// tasks it takes.
+// tasks it takes. One call asks for all machines of a kind and zone, whichever
+// shards they are for, and the largest are asked for first: calls are few.
 func (m *Member) rentForNeeds() {
 	f := &m.fleet
+	wanted := map[offer]map[string]int{}
+	total := map[offer]int{}
 	for _, p := range inOrder(m.peers) {
 		if !m.fresh(p) {
 			continue
@@ -254,18 +269,34 @@
 			if m.mine[sr.Shard] == nil && m.shards[sr.Shard].Holder != p.msg.From {
 				continue
 			}
-			m.rentFor(sr)
+			for o, n := range m.rentFor(sr) {
+				if wanted[o] == nil {
+					wanted[o] = map[string]int{}
+				}
+				wanted[o][sr.Shard] += n
+				total[o] += n
+			}
 		}
 	}
+	var order []offer
+	for o := range total {
+		order = append(order, o)
+	}
+	slices.SortFunc(order, func(a, b offer) int { return cmp.Or(cmp.Compare(total[b], total[a]), a.compare(b)) })
+	for _, o := range order {
+		m.rent(o, wanted[o])
+	}
 }
 
 // rentAtOnce bounds the machines asked for by one shard's needs at a time;
 // needs that remain are told again.
-const rentAtOnce = 10
+const rentAtOnce = 50
 
-func (m *Member) rentFor(sr *ShardReport) {
+// rentFor is what machines a shard's needs ask for.
+func (m *Member) rentFor(sr *ShardReport) map[offer]int {
 	var vms []*virtual
 	wall := m.now.Wall
+	zones := map[offer]offer{} // the zone that this round takes for a kind
 	for _, need := range sr.Needs {
 		j := m.jobs[need.Job]
 		if j == nil {
@@ -284,12 +315,12 @@
 			}
 		}
 		for g.left > 0 && len(vms) < rentAtOnce {
-			o, ok := m.cheapest(g, need.SpotOnly)
+			o, ok := m.cheapest(g, need.SpotOnly, zones)
 			if !ok {
 				break
 			}
 			t := m.types[o.typ]
-			v := &virtual{o: o, shard: sr.Shard, pm: &planMachine{typ: t, zone: o.zone, spot: o.spot, upAt: wall + ms(t.BootS), free: t.Room}}
+			v := &virtual{o: o, pm: &planMachine{typ: t, zone: o.zone, spot: o.spot, upAt: wall + ms(t.BootS), free: t.Room}}
 			v.pm.fetch = m.planFetch(v.pm, g.j)
 			n, _, _ := m.fit(v.pm, g, m.reach(g, v.pm), g.left, mode)
 			if n == 0 {
@@ -303,12 +334,7 @@
 	for _, v := range vms {
 		counts[v.o]++
 	}
-	for _, v := range vms {
-		if n := counts[v.o]; n > 0 {
-			delete(counts, v.o)
-			m.rent(v.o, n, sr.Shard)
-		}
-	}
+	return counts
 }
 
 // reach is the deadline that a rented machine is filled for: the group's own,
@@ -327,7 +353,7 @@
 // cheapest picks the kind of machine that costs least for the tasks of the
 // group that it takes, among those the cloud did not refuse of late. Ordinary
 // machines are dearer, so they come up where no spot machine is to be had.
-func (m *Member) cheapest(g *group, spotOnly bool) (offer, bool) {
+func (m *Member) cheapest(g *group, spotOnly bool, zones map[offer]offer) (offer, bool) {
 	var best []offer
 	cost := math.Inf(1)
 	names := make([]string, 0, len(m.types))
@@ -376,40 +402,65 @@
 	if len(best) == 0 {
 		return offer{}, false
 	}
-	return best[m.rng.IntN(len(best))], true
+	// Zones that cost the same take turns, a round for each, so that a call
+	// asks for many.
+	o := best[m.rng.IntN(len(best))]
+	kind := offer{typ: o.typ, spot: o.spot}
+	if z, ok := zones[kind]; ok && slices.Contains(best, z) {
+		return z, true
+	}
+	zones[kind] = o
+	return o, true
 }
 
 // rent asks for machines under a name that no one ever uses again: it holds
-// the revision of the lead's claim.
-func (m *Member) rent(o offer, n int, shard string) {
+// the revision of the lead's claim. What comes is split among the shards as they
+// asked.
+func (m *Member) rent(o offer, shards map[string]int) {
 	f := &m.fleet
+	n := 0
+	for s, k := range inOrder(shards) {
+		k = min(k, maxRental-n)
+		shards[s] = k
+		n += k
+		f.renting[s]++
+	}
 	f.requests++
 	name := fmt.Sprintf("r-%d-%d", f.rev, f.requests)
-	f.renting[shard]++
-	asked := m.now.Wall
+	asked, rev := m.now.Wall, f.rev
+	end := func(s string) {
+		if f.rev == rev {
+			f.renting[s]--
+			f.needsAfter[s] = m.now.Wall + 300
+		}
+	}
+	endAll := func() {
+		for s := range shards {
+			end(s)
+		}
+	}
+	refuse := func() { f.refused[o] = m.now.Steady + max(ms(m.types[o.typ].BootS), 5000) }
 	var send func(tries int)
 	send = func(tries int) {
-		m.askCloud(CloudOp{Kind: CloudRent, Request: name, Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(n, 50)}, func(r CloudResult) {
-			refuse := func() {
-				t := m.types[o.typ]
-				f.refused[o] = m.now.Steady + max(ms(t.BootS), 5000)
-			}
-			end := func() {
-				f.renting[shard]--
-				f.needsAfter[shard] = m.now.Wall + 300
-			}
+		m.askCloud(CloudOp{Kind: CloudRent, Request: name, Type: o.typ, Zone: o.zone, Spot: o.spot, Count: n}, func(r CloudResult) {
 			switch r.Outcome {
 			case OK:
 				if len(r.Machines) < n {
 					refuse()
 				}
 				m.Counters.Rented += uint64(len(r.Machines))
-				m.log(Info, "machines rented", "type", o.typ, "zone", o.zone, "spot", o.spot, "asked", n, "got", r.Machines, "shard", shard)
-				m.addMachines(r.Machines, o, shard, asked, end)
+				m.log(Info, "machines rented", "type", o.typ, "zone", o.zone, "spot", o.spot, "asked", n, "got", len(r.Machines), "machines", r.Machines)
+				ids := r.Machines
+				for s, k := range inOrder(shards) {
+					// What is missing is missing for all in proportion.
+					k = min(len(ids), (k*len(r.Machines)+n-1)/n)
+					m.addMachines(ids[:k], o, s, asked, func() { end(s) })
+					ids = ids[k:]
+				}
 			case NotFound:
 				m.log(Debug, "no capacity", "type", o.typ, "zone", o.zone, "spot", o.spot)
 				refuse()
-				end()
+				endAll()
 			case Unknown:
 				// The same name gets the same answer, and rents nothing
 				// twice.
@@ -417,12 +468,15 @@
 					send(tries - 1)
 					return
 				}
-				end()
+				endAll()
 			default:
 				f.nextRent = m.now.Steady + 2000
-				end()
+				endAll()
 			}
 		})
 	}
 	send(3)
 }
+
+// maxRental is the most machines of one request, by the cloud's protocol.
+const maxRental = 50
--- a/scheduler/io.go
+++ b/scheduler/io.go
@@ -103,6 +103,18 @@
 	CloudRelease
 )
 
+// Urgency orders requests to the cloud: work waits for rentals, returns only
+// cost money, and lists come again.
+func (k CloudKind) Urgency() int {
+	switch k {
+	case CloudRent, CloudCatalog:
+		return 0
+	case CloudRelease:
+		return 1
+	}
+	return 2
+}
+
 // CloudOp is a request to the cloud.
 type CloudOp struct {
 	ID       uint64
