Free room at peers before a place in a queue here

The design's exception "free room before queues" now holds across members: at acceptance, and each second for tails that would start at once elsewhere. What is taken of a peer's summary is used up by its count, not as a whole.

--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -1,10 +1,8 @@
 package scheduler
 
 import (
-	"sort"
+	"slices"
 	"strings"
-
-	"github.com/grebedock/grebedock/availability"
 )
 
 func (m *Member) tickPeers() {
@@ -56,20 +54,70 @@
 	return p != nil && m.now.Steady-p.at < 4*ms(m.settings.SummaryS)
 }
 
-// peerRoom is how many tasks of a job a peer's shards say they can end by
-// deadline, the least leftover first being the peer's own business.
-func (m *Member) peerRoom(sr *ShardReport, j *Job, length, deadline int64) int {
+// peerRoom is how many tasks of a job a peer's shard says that it can end by
+// deadline, the least leftover first being the peer's own business. What is
+// taken is used up until the peer speaks again.
+func (m *Member) peerRoom(sr *ShardReport, j *Job, length, deadline int64, limit int, take bool) int {
 	n := 0
 	req := withoutDisk(j.Request)
 	for i := range sr.Summary {
 		f := &sr.Summary[i]
+		if n >= limit {
+			break
+		}
+		if f.Count <= 0 || !f.Room.Holds(req) {
+			continue
+		}
 		spot, zone, typ := splitKind(f.Kind)
 		if !m.allowed(j, typ, zone, spot) {
 			continue
 		}
-		n += f.Tasks(req, deadline, length+m.typeFetch(j, typ), j.Tasks)
+		k := f.Tasks(req, deadline, length+m.typeFetch(j, typ), limit-n)
+		if take && k > 0 {
+			each := max(1, f.Tasks(req, deadline, length+m.typeFetch(j, typ), int(min(f.Count, 1<<20))*j.Tasks)/int(f.Count))
+			f.Count -= int64((k + each - 1) / each)
+		}
+		n += k
 	}
-	return min(n, j.Tasks)
+	return n
+}
+
+// soon is by when a task must end that a peer is asked to start at once: its
+// length and a share more, since summaries are a moment old.
+func (m *Member) soon(j *Job, length int64) int64 {
+	fetch := int64(0)
+	for n := range m.types {
+		fetch = max(fetch, m.typeFetch(j, n))
+	}
+	return m.now.Wall + fetch + length + min(length/4, ms(m.p.ReportS))
+}
+
+// peerOffer is room that a peer's shard has for a job.
+type peerOffer struct {
+	sr *ShardReport
+	n  int
+}
+
+// peerOffers lists the peers' shards with room for a job, the one that is left
+// with least first.
+func (m *Member) peerOffers(j *Job, length, deadline int64, limit int) []peerOffer {
+	var out []peerOffer
+	for name, p := range inOrder(m.peers) {
+		if name == m.p.Member || !m.fresh(p) {
+			continue
+		}
+		for i := range p.msg.Shards {
+			sr := &p.msg.Shards[i]
+			if m.shards[sr.Shard].Holder != name {
+				continue
+			}
+			if n := m.peerRoom(sr, j, length, deadline, limit, false); n > 0 {
+				out = append(out, peerOffer{sr, n})
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b peerOffer) int { return a.n - b.n })
+	return out
 }
 
 func splitKind(k string) (spot bool, zone, typ string) {
@@ -97,7 +145,9 @@
 func (m *Member) rangesLimit() int { return max(8, m.p.ValueBytes/4/50) }
 
 // allot decides where the tasks of a new job go: own machines before peers'.
-// What neither can end in time is held by this member.
+// Room that is free now goes before a place in a queue, here or there: a task
+// that waits while a peer's machine is idle only risks its deadline. What
+// neither can end in time is held by this member.
 func (m *Member) allot(j *Job) []Range {
 	own := m.p.Member
 	length := m.length(j)
@@ -108,58 +158,46 @@
 		n     int
 	}
 	var shares []share
-	mineN := 0
-	if s := m.mine[own]; s != nil && s.ready && m.authority() {
+	rest := left
+	var all []*planMachine
+	tmp := &job{rec: jobRecord{Job: *j, Accepted: m.now.Wall}}
+	w := &work{job: tmp, rng: Range{0, j.Tasks, own, false}, shard: own}
+	g := &group{w: w, j: &tmp.rec.Job, length: length, tight: tight, due: due}
+	s := m.mine[own]
+	if s != nil && s.ready && m.authority() {
 		// The last plan is asked, and keeps what it promises here until the
 		// next one: a burst of submissions must not cost a plan each.
-		tmp := &job{rec: jobRecord{Job: *j, Accepted: m.now.Wall}}
-		w := &work{job: tmp, rng: Range{0, j.Tasks, own, false}, shard: own}
-		g := &group{w: w, j: &tmp.rec.Job, left: min(left, m.teamCopies(s, j)), length: length, tight: tight, due: due}
-		_, all := m.order(s.pms, g)
+		g.left = min(left, m.teamCopies(s, j))
+		_, all = m.order(s.pms, g)
+	}
+	here := func(mode fitMode) {
 		for _, pm := range all {
 			if g.left == 0 {
-				break
+				return
 			}
-			n, _, _ := m.fit(pm, g, tight, min(g.left, m.zoneRoom(pm, g)), every)
+			n, _, _ := m.fit(pm, g, tight, min(g.left, m.zoneRoom(pm, g)), mode)
 			g.left -= n
-			mineN += n
+			rest -= n
 		}
 	}
-	if mineN < left && !j.whole() {
-		type offer struct {
-			shard string
-			n     int
-			p     *peerState
+	there := func(deadline int64) {
+		if rest <= 0 || j.whole() {
+			return
 		}
-		var offers []offer
-		for name, p := range inOrder(m.peers) {
-			if name == own || !m.fresh(p) {
-				continue
-			}
-			for i := range p.msg.Shards {
-				sr := &p.msg.Shards[i]
-				if n := m.peerRoom(sr, j, length, tight); n > 0 && m.shards[sr.Shard].Holder == name {
-					offers = append(offers, offer{sr.Shard, n, p})
-				}
+		for _, o := range m.peerOffers(j, length, deadline, rest) {
+			if n := m.peerRoom(o.sr, j, length, deadline, rest, true); n > 0 {
+				shares = append(shares, share{o.sr.Shard, n})
+				rest -= n
 			}
-		}
-		// The one that is left with least goes first.
-		sort.Slice(offers, func(i, k int) bool {
-			if offers[i].n != offers[k].n {
-				return offers[i].n < offers[k].n
-			}
-			return offers[i].shard < offers[k].shard
-		})
-		rest := left - mineN
-		for _, o := range offers {
 			if rest <= 0 {
-				break
+				return
 			}
-			n := min(o.n, rest)
-			shares = append(shares, share{o.shard, n})
-			rest -= n
 		}
 	}
+	here(fresh)
+	there(min(tight, m.soon(j, length)))
+	here(queued)
+	there(tight)
 	for _, sh := range shares {
 		left -= sh.n
 	}
@@ -181,58 +219,55 @@
 // with room, by a conditional write of the job's record. What came from a peer
 // stays.
 func (m *Member) moveLeftovers(s *shard) {
+	movable := func(w *work) bool {
+		j := w.job
+		return m.jobs[j.rec.Job.ID] == j && !j.busy && !j.rec.Job.whole() && len(j.rec.Ranges) < m.rangesLimit() &&
+			!w.rng.Moved && !w.moving && !w.writing
+	}
+	for _, g := range s.queue {
+		// What waits in a queue here may start at once there.
+		if n := g.waiting; n > 0 && movable(g.w) {
+			m.moveTail(s, g.w, n, g.length, m.soon(g.j, g.length))
+		}
+	}
 	for _, need := range s.needs {
 		j := m.jobs[need.Job]
-		if need.SpotOnly || j == nil || j.busy || j.rec.Job.whole() || len(j.rec.Ranges) >= m.rangesLimit() {
+		if need.SpotOnly || j == nil {
 			continue
 		}
 		for _, w := range inOrder(j.works) {
-			if w.shard != s.name || w.rng.Moved || w.moving || w.writing {
-				continue
+			if w.shard == s.name && movable(w) {
+				m.moveTail(s, w, need.Count, need.Length, need.Deadline)
+				break
 			}
-			m.moveTail(s, w, need)
-			break
 		}
 	}
 }
 
-func (m *Member) moveTail(s *shard, w *work, need Need) {
+// worthMoving is how small a share of what waits may go by a move of its own:
+// each costs a write now and one at its end.
+const worthMoving = 8
+
+func (m *Member) moveTail(s *shard, w *work, count int, length, deadline int64) {
 	tail := 0
-	for i := w.size() - 1; i >= 0 && tail < need.Count && !w.done.has(i) && !w.busy.has(i); i-- {
+	for i := w.size() - 1; i >= 0 && tail < count && !w.done.has(i) && !w.busy.has(i); i-- {
 		tail++
 	}
 	if tail == 0 {
 		return
 	}
 	j := w.job
-	best, room := "", 0
-	for name, p := range inOrder(m.peers) {
-		if name == m.p.Member || !m.fresh(p) {
-			continue
-		}
-		for i := range p.msg.Shards {
-			sr := &p.msg.Shards[i]
-			if m.shards[sr.Shard].Holder != name {
-				continue
-			}
-			n := m.peerRoom(sr, &j.rec.Job, need.Length, need.Deadline)
-			if n > 0 && (best == "" || min(n, tail) > min(room, tail) || min(n, tail) == min(room, tail) && n < room) {
-				best, room = sr.Shard, n
-			}
+	var best peerOffer
+	for _, o := range m.peerOffers(&j.rec.Job, length, deadline, tail) {
+		if o.n > best.n {
+			best = o
 		}
 	}
-	if best == "" {
+	if best.n == 0 || best.n < tail/worthMoving {
 		return
 	}
-	n := min(room, tail)
-	// The promise is used up until the peer speaks again.
-	for _, p := range m.peers {
-		for i := range p.msg.Shards {
-			if p.msg.Shards[i].Shard == best {
-				p.msg.Shards[i].Summary = availability.Summary{}
-			}
-		}
-	}
+	n := m.peerRoom(best.sr, &j.rec.Job, length, deadline, tail, true)
+	to := best.sr.Shard
 	rec := j.rec
 	rec.Ranges = nil
 	for _, r := range j.rec.Ranges {
@@ -243,9 +278,9 @@
 		if n < w.size() {
 			rec.Ranges = append(rec.Ranges, Range{r.Lo, r.Hi - n, r.Shard, r.Moved})
 		}
-		rec.Ranges = append(rec.Ranges, Range{r.Hi - n, r.Hi, best, true})
+		rec.Ranges = append(rec.Ranges, Range{r.Hi - n, r.Hi, to, true})
 	}
-	m.log(Debug, "tasks moved", "job", j.rec.Job.ID, "tasks", n, "to", best)
+	m.log(Debug, "tasks moved", "job", j.rec.Job.ID, "tasks", n, "to", to)
 	m.sendMove(s, w, j, rec, j.rev)
 }
 
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -164,6 +164,7 @@
 	length     int64
 	tight, due int64
 	lost       bool
+	waiting    int // tasks that do not start now
 }
 
 // groups lists a shard's waiting work: higher priority first; within one, what
@@ -448,6 +449,8 @@
 func (m *Member) place(s *shard, g *group) {
 	open, all := m.order(s.pms, g)
 	total := g.left
+	started := 0
+	defer func() { g.waiting = total - started }()
 	only := anyKind
 	aimOnly := false
 	pass := func(deadline int64, mode fitMode) {
@@ -476,6 +479,7 @@
 				m.countZone(s.pms, pm, g.w, n)
 			}
 			if now > 0 && pm.up && pm.mc != nil {
+				started += now
 				pm.mc.plan = append(pm.mc.plan, planned{w: g.w, n: now, length: g.length, fetch: pm.fetch})
 			}
 		}
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -312,6 +312,12 @@
 			for range times {
 				w.hop(m.name, p.name, func() {
 					if p.core != nil {
+						// Each has a copy of its own, as on the network.
+						msg := msg
+						msg.Shards = slices.Clone(msg.Shards)
+						for i := range msg.Shards {
+							msg.Shards[i].Summary = slices.Clone(msg.Shards[i].Summary)
+						}
 						p.core.Peer(p.clock(), msg)
 						p.drain()
 					}
