A limited team's jobs and its whole limit go to one shard, its home

Now a team's limit starts whole at its home and its jobs are allotted there; parts are still lent to a peer whose machines are wanted, while all the work fits.

--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -145,6 +145,7 @@
 	corrected  map[string]*correction
 	fleet      fleet
 	teamBusy   map[string]bool
+	homes      map[string]string // team with a limit: the shard that its jobs go to
 	Counters   Counters
 	lastUsable bool
 }
@@ -194,6 +195,7 @@
 		wants: map[string]int64{}, finals: map[string]finalRecord{}, waiting: map[string][]waiter{},
 		peers: map[string]*peerState{}, corrected: map[string]*correction{}, teamBusy: map[string]bool{},
 	}
+	m.homes = teamHomes(p.Teams, m.members())
 	m.fleet.init()
 	return m
 }
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -150,6 +150,10 @@
 // neither can end in time is held by this member.
 func (m *Member) allot(j *Job) []Range {
 	own := m.p.Member
+	home, limited := m.homes[j.Team]
+	if !limited {
+		home = own
+	}
 	length := m.length(j)
 	tight, due, _ := m.aims(j, m.now.Wall, length)
 	left := j.Tasks
@@ -164,7 +168,7 @@
 	w := &work{job: tmp, rng: Range{0, j.Tasks, own, false}, shard: own}
 	g := &group{w: w, j: &tmp.rec.Job, length: length, tight: tight, due: due}
 	s := m.mine[own]
-	if s != nil && s.ready && m.authority() {
+	if s != nil && s.ready && m.authority() && home == own {
 		// The last plan is asked, and keeps what it promises here until the
 		// next one: a burst of submissions must not cost a plan each.
 		g.left = min(left, m.teamCopies(s, j))
@@ -181,7 +185,7 @@
 		}
 	}
 	there := func(deadline int64) {
-		if rest <= 0 || j.whole() {
+		if rest <= 0 || limited || j.whole() {
 			return
 		}
 		for _, o := range m.peerOffers(j, length, deadline, rest) {
@@ -201,13 +205,13 @@
 	for _, sh := range shares {
 		left -= sh.n
 	}
-	shares = append([]share{{own, left}}, shares...)
+	shares = append([]share{{home, left}}, shares...)
 	var out []Range
 	lo := 0
 	for _, sh := range shares {
 		for sh.n > 0 {
 			n := min(sh.n, m.rangeLimit())
-			out = append(out, Range{lo, lo + n, sh.shard, sh.shard != own})
+			out = append(out, Range{lo, lo + n, sh.shard, sh.shard != home})
 			lo += n
 			sh.n -= n
 		}
@@ -222,7 +226,7 @@
 	movable := func(w *work) bool {
 		j := w.job
 		return m.jobs[j.rec.Job.ID] == j && !j.busy && !j.rec.Job.whole() && len(j.rec.Ranges) < m.rangesLimit() &&
-			!w.rng.Moved && !w.moving && !w.writing
+			!w.rng.Moved && !w.moving && !w.writing && m.lendable(s, j.rec.Job.Team)
 	}
 	for _, g := range s.queue {
 		// What waits in a queue here may start at once there.
--- a/scheduler/teams.go
+++ b/scheduler/teams.go
@@ -8,7 +8,10 @@
 
 // A team's limit is split among the shards by a record in the store; a start
 // needs room in its shard's part, so the limit holds whatever the shards know
-// of each other. Without a record every shard has an equal part.
+// of each other. Without a record all of it is with the team's home, the shard
+// that the team's jobs go to: in equal parts, a team's jobs waited on one shard
+// for what lay unused on another, and the earliest deadline was the earliest of
+// its shard only.
 
 func (m *Member) part(s *shard, team string) (amounts, Team, bool) {
 	t := m.p.Teams[team]
@@ -24,12 +27,44 @@
 	if rec, ok := m.teams[team]; ok && rec.Parts != nil {
 		return rec.Parts
 	}
-	all := m.members()
-	out := make(map[string]amounts, len(all))
-	for _, n := range all {
-		out[n] = amounts{t.MaxCPUs / float64(len(all)), t.MaxGPUs / float64(len(all))}
+	return map[string]amounts{m.homes[team]: {t.MaxCPUs, t.MaxGPUs}}
+}
+
+// teamHomes spreads the teams that have a limit over the shards. All members
+// have the same settings, so they agree.
+func teamHomes(teams map[string]Team, members []string) map[string]string {
+	homes := map[string]string{}
+	i := 0
+	for name, t := range inOrder(teams) {
+		if t.MaxCPUs > 0 || t.MaxGPUs > 0 {
+			homes[name] = members[i%len(members)]
+			i++
+		}
+	}
+	return homes
+}
+
+// lendable tells whether all that a shard has of a limited team's work fits its
+// part: then some may go to a peer, which asks for the part that it needs.
+func (m *Member) lendable(s *shard, team string) bool {
+	r, limited := m.teamRoom(s, team)
+	if !limited {
+		return true
 	}
-	return out
+	q := s.queued(team)
+	return q.CPUs <= r.CPUs && q.GPUs <= r.GPUs
+}
+
+// queued is what a team's tasks that do not run yet ask for.
+func (s *shard) queued(team string) availability.Room {
+	var q availability.Room
+	for _, w := range s.works {
+		if j := &w.job.rec.Job; j.Team == team {
+			q.CPUs += float64(w.pending()) * j.Request.CPUs
+			q.GPUs += float64(w.pending()) * j.Request.GPUs
+		}
+	}
+	return q
 }
 
 // teamRoom is what a team may still start in a shard. A shard that cannot see
@@ -104,13 +139,7 @@
 		if !limited {
 			continue
 		}
-		queued := availability.Room{}
-		for _, w := range s.works {
-			if j := &w.job.rec.Job; j.Team == name {
-				queued.CPUs += float64(w.pending()) * j.Request.CPUs
-				queued.GPUs += float64(w.pending()) * j.Request.GPUs
-			}
-		}
+		queued := s.queued(name)
 		spare := amounts{max(0, r.CPUs-queued.CPUs), max(0, r.GPUs-queued.GPUs)}
 		if spare.CPUs < 1 && spare.GPUs < 1 {
 			continue
