--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -99,7 +99,9 @@
 }
 
 // peerOffers lists the peers' shards with room for a job, the one that is left
-// with least first.
+// with least first. All members see the same room and none hands back what it
+// got, so each takes its part only: when four took all of it at once, the peer
+// that had been idle was left with the longest queue.
 func (m *Member) peerOffers(j *Job, length, deadline int64, limit int) []peerOffer {
 	var out []peerOffer
 	for name, p := range inOrder(m.peers) {
@@ -111,7 +113,8 @@
 			if m.shards[sr.Shard].Holder != name {
 				continue
 			}
-			if n := m.peerRoom(sr, j, length, deadline, limit, false); n > 0 {
+			n := m.peerRoom(sr, j, length, deadline, limit*len(m.p.Peers), false)
+			if n = (n + len(m.p.Peers) - 1) / len(m.p.Peers); n > 0 {
 				out = append(out, peerOffer{sr, n})
 			}
 		}
@@ -189,7 +192,7 @@
 			return
 		}
 		for _, o := range m.peerOffers(j, length, deadline, rest) {
-			if n := m.peerRoom(o.sr, j, length, deadline, rest, true); n > 0 {
+			if n := m.peerRoom(o.sr, j, length, deadline, min(o.n, rest), true); n > 0 {
 				shares = append(shares, share{o.sr.Shard, n})
 				rest -= n
 			}
@@ -270,7 +273,7 @@
 	if best.n == 0 || best.n < tail/worthMoving {
 		return
 	}
-	n := m.peerRoom(best.sr, &j.rec.Job, length, deadline, tail, true)
+	n := m.peerRoom(best.sr, &j.rec.Job, length, deadline, min(best.n, tail), true)
 	to := best.sr.Shard
 	rec := j.rec
 	rec.Ranges = nil
