Reserve by the root of what jobs with a start aim use

Cause: half of the average use of fraud-holds stayed free, 250 to 350 processors in each of five shards, a tenth of the fleet, while 5,000 waited beside it. Arrivals at random vary with the root of use times job size; for the few machines of the earlier sites that is what half of the use was.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 
@@ -408,8 +409,11 @@
 	}
 }
 
-// reserveShare is how much of what jobs with a start aim use on average is kept
-// free for them by jobs that have none and can wait in a queue in time.
+// reserveShare is how much room is kept free for jobs with a start aim by jobs
+// that have none and can wait in a queue in time, against how much the use of
+// the former varies. If jobs arrive at random, that is the root of their average
+// use times the size of one: a share of the use itself, which did for a few
+// machines, kept a tenth of hundreds idle.
 const reserveShare = 0.5
 
 // reserveMemory is over how many leases that average runs.
@@ -434,11 +438,22 @@
 			}
 		}
 	}
+	n, size := 0.0, 0.0
+	for _, w := range s.works {
+		if j := &w.job.rec.Job; m.startAim(j) {
+			n++
+			size += float64(w.size()) * j.Request.CPUs
+		}
+	}
 	if passed := float64(m.now.Steady - s.reserveAt); passed > 0 {
-		s.average += (use - s.average) * min(1, passed/(reserveMemory*m.p.LeaseS*1000))
+		part := min(1, passed/(reserveMemory*m.p.LeaseS*1000))
+		s.average += (use - s.average) * part
+		if n > 0 {
+			s.jobSize += (size/n - s.jobSize) * part
+		}
 		s.reserveAt = m.now.Steady
 	}
-	s.reserve = s.average * reserveShare
+	s.reserve = min(s.average, math.Sqrt(s.average*s.jobSize)) * reserveShare
 }
 
 // startAim tells whether a job's class has a start aim of its own.
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -50,9 +50,9 @@
 	hasten bool
 
 	// Room that is kept free for jobs with a start aim, in processors.
-	reserve, spare, average float64
-	reserveAt               int64
-	needs                   []Need
+	reserve, spare, average, jobSize float64
+	reserveAt                        int64
+	needs                            []Need
 }
 
 func newShard(name string, nonce, rev uint64, now int64) *shard {
