A team's limit admits jobs as a machine's queue admits tasks

Its limit now is a queue that works at the speed of its processors: a job that would not be done in time, or would make an admitted one late, aims for its next time that counts or goes last.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -68,20 +68,9 @@
 // due is then the last one, and the job aims late.
 func (m *Member) aims(j *Job, accepted, length int64) (tight, due int64, lost bool) {
 	far := accepted + farSpan*ms(m.p.LeaseS)
-	var ladder []int64
-	if j.DeadlineS > 0 {
-		ladder = append(ladder, accepted+ms(j.DeadlineS))
-	}
 	start := far
 	for _, o := range m.p.Objectives[j.Class] {
-		switch o.Kind {
-		case "deadline":
-			if j.DeadlineS > 0 && o.Times > 1 {
-				ladder = append(ladder, accepted+ms(j.DeadlineS*o.Times))
-			}
-		case "finished":
-			ladder = append(ladder, accepted+ms(o.WithinS))
-		case "wait":
+		if o.Kind == "wait" {
 			start = min(start, accepted+ms(o.WithinS))
 		}
 	}
@@ -89,8 +78,7 @@
 		start = min(start, accepted+ms(m.p.GuaranteeS))
 	}
 	due = far
-	if len(ladder) > 0 {
-		slices.Sort(ladder)
+	if ladder := m.rungs(j, accepted); len(ladder) > 0 {
 		lost = true
 		due = ladder[len(ladder)-1]
 		for _, t := range ladder {
@@ -103,6 +91,26 @@
 	return min(start+length, due), due, lost
 }
 
+// rungs are the times by which it counts that a job is done, in order.
+func (m *Member) rungs(j *Job, accepted int64) []int64 {
+	var ladder []int64
+	if j.DeadlineS > 0 {
+		ladder = append(ladder, accepted+ms(j.DeadlineS))
+	}
+	for _, o := range m.p.Objectives[j.Class] {
+		switch o.Kind {
+		case "deadline":
+			if j.DeadlineS > 0 && o.Times > 1 {
+				ladder = append(ladder, accepted+ms(j.DeadlineS*o.Times))
+			}
+		case "finished":
+			ladder = append(ladder, accepted+ms(o.WithinS))
+		}
+	}
+	slices.Sort(ladder)
+	return ladder
+}
+
 // allowed tells whether a job may use a kind of machine at all.
 func (m *Member) allowed(j *Job, typ, zone string, spot bool) bool {
 	if spot && !j.Spot || j.Zone != "" && j.Zone != zone || len(j.Types) > 0 && !slices.Contains(j.Types, typ) {
@@ -122,6 +130,7 @@
 func (m *Member) planMachines(s *shard) []*planMachine {
 	wall := m.now.Wall
 	out := s.pms[:0]
+	clear(s.rest)
 	for _, mc := range s.machines {
 		mc.plan = nil
 		if !m.usable(mc) {
@@ -147,7 +156,9 @@
 				continue
 			}
 			pm.free = pm.free.Sub(a.job.Request)
-			pm.addLane(a.job.Request, a.ends(wall))
+			ends := a.ends(wall)
+			pm.addLane(a.job.Request, ends)
+			s.rest[a.job.Team] += float64(ends-wall) * a.job.Request.CPUs
 		}
 		slices.SortFunc(pm.lanes, func(a, b lane) int {
 			return cmp.Or(cmp.Compare(a.queue.Base, b.queue.Base), cmp.Compare(a.room.CPUs, b.room.CPUs), cmp.Compare(a.room.MemoryGB, b.room.MemoryGB))
@@ -180,6 +191,49 @@
 		g.tight, g.due, g.lost = m.aims(g.j, w.job.rec.Accepted, g.length)
 		out = append(out, g)
 	}
+	sortGroups(out)
+	if m.admitToTeams(s, out) {
+		sortGroups(out)
+	}
+	return out
+}
+
+// admitToTeams admits groups to their teams' limits as tasks are admitted to
+// machines: a limit is a queue that works at the speed of its processors. A
+// group that would not be done in time there, or would make one late that was
+// admitted, aims for the next time that counts, or goes last. Without it a team
+// over its limit ran the earliest deadlines, which it had missed already, and
+// nothing in time.
+func (m *Member) admitToTeams(s *shard, gs []*group) (changed bool) {
+	queues := map[string]*availability.Queue{}
+	for _, g := range gs {
+		part, t, limited := m.part(s, g.j.Team)
+		if !limited || t.MaxCPUs <= 0 || part.CPUs <= 0 || g.j.Kind != Array || g.lost {
+			continue
+		}
+		q := queues[g.j.Team]
+		if q == nil {
+			q = &availability.Queue{Base: m.now.Wall + int64(s.rest[g.j.Team]/part.CPUs)}
+			queues[g.j.Team] = q
+		}
+		work := int64(float64(g.left) * g.j.Request.CPUs / part.CPUs * float64(g.length))
+		// However wide the limit, its last task takes its length.
+		tail := max(0, g.length-work)
+		if q.Admit(g.due-tail, work, 1) == 1 {
+			continue
+		}
+		changed, g.lost = true, true
+		for _, t := range m.rungs(g.j, g.w.job.rec.Accepted) {
+			if t > g.due && q.Admit(t-tail, work, 1) == 1 {
+				g.due, g.lost = t, false
+				break
+			}
+		}
+	}
+	return changed
+}
+
+func sortGroups(out []*group) {
 	sort.Slice(out, func(i, k int) bool {
 		a, b := out[i], out[k]
 		if a.j.Priority != b.j.Priority {
@@ -204,7 +258,6 @@
 		}
 		return a.w.rng.Lo < b.w.rng.Lo
 	})
-	return out
 }
 
 // padding is what the planner adds to an expected run time before it lets a
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -35,6 +35,7 @@
 	machines []*machine
 	works    []*work
 	use      map[string]availability.Room // by team, of live attempts
+	rest     map[string]float64           // by team: what they have left to do, in processor milliseconds
 	pages    map[string]*page
 
 	// Machines that reported and are not listed as up yet.
@@ -56,7 +57,7 @@
 }
 
 func newShard(name string, nonce, rev uint64, now int64) *shard {
-	return &shard{name: name, nonce: nonce, base: rev, token: rev, at: now, dirty: true, use: map[string]availability.Room{}, pages: map[string]*page{}}
+	return &shard{name: name, nonce: nonce, base: rev, token: rev, at: now, dirty: true, use: map[string]availability.Room{}, rest: map[string]float64{}, pages: map[string]*page{}}
 }
 
 // attemptsPerClaim is the room for attempt numbers in one claim. A number is
