--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -765,13 +765,14 @@
 
 // mayPick tells whether a task of a group may start on a machine without a new
 // plan. What the plan decides with a view of the whole shard is left to it:
-// types that others cannot do without, and the reserve.
+// types that others cannot do without, the reserve, and ordinary machines for
+// work that spot machines end in time, or they would never be idle and returned.
 func (m *Member) mayPick(s *shard, mc *machine, t *MachineType, g *group) bool {
 	j := &g.w.job.rec.Job
 	if m.jobs[j.ID] != g.w.job || g.w.job.works[g.w.rng.Lo] != g.w || g.w.moving || m.now.Steady < g.w.retryAt || g.w.failed[mc.id] > 0 {
 		return false
 	}
-	if g.tight >= g.due && s.spare-s.reserve < j.Request.CPUs || m.short(j, t) {
+	if g.tight >= g.due && s.spare-s.reserve < j.Request.CPUs || m.short(j, t) || j.Spot && !mc.rec.Spot && !g.dear && !m.onlyType[t.Name] {
 		return false
 	}
 	return m.mayStart(s, g.w, mc)
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -176,7 +176,8 @@
 	length     int64
 	tight, due int64
 	lost       bool
-	waiting    int // tasks that do not start now
+	waiting    int  // tasks that do not start now
+	dear       bool // spot machines' queues do not take all of it in time
 }
 
 // groups lists a shard's waiting work: higher priority first; within one, what
@@ -583,6 +584,7 @@
 		}
 		put(deadline)
 		if g.j.Spot {
+			g.dear = g.dear || !aimOnly && dear > 0
 			dear -= g.left
 		}
 		aimOnly = false
@@ -607,6 +609,7 @@
 		return
 	}
 	need(g.left, g.due, false)
+	g.dear = true
 	// No machine can end them in time. They start where there is room now,
 	// and aim late by a share of the span for the rest.
 	pass(g.due, anyhow)
