--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -119,6 +119,7 @@
 	loss    float64
 	broken  map[string]string // rule: first breach
 	sab     sabotage
+	size    scale
 	trace   bool
 	log     []string
 }
@@ -130,11 +131,21 @@
 	{Name: "large", Room: availability.Room{CPUs: 64, MemoryGB: 256, DiskGB: 50}, FetchGBps: 1, Price: 3, SpotPrice: 0.9, BootS: 12, Zones: []string{"a"}},
 }
 
-func newWorld(seed uint64, sab sabotage) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), state: standin.NewState(), cloud: standin.NewCloud(simTypes, 4), hosts: map[string]*host{},
-		jobs: map[string]*simJob{}, outage: map[string]int64{}, broken: map[string]string{}, loss: 0.002, sab: sab}
+// scale is the size of a world.
+type scale struct {
+	members  int
+	capacity int // machines of a type, zone and kind
+	tasks    int // of the largest job
+	teamCPUs float64
+}
+
+var smallScale = scale{members: 3, capacity: 4, tasks: 12, teamCPUs: 96}
+
+func newWorld(seed uint64, sab sabotage, size scale) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), state: standin.NewState(), cloud: standin.NewCloud(simTypes, size.capacity), hosts: map[string]*host{},
+		jobs: map[string]*simJob{}, outage: map[string]int64{}, broken: map[string]string{}, loss: 0.002, sab: sab, size: size}
 	w.params = scheduler.Params{
-		Teams: map[string]scheduler.Team{"t0": {MaxCPUs: 96, CPUs: 32}, "t1": {}}, GuaranteeS: 10,
+		Teams: map[string]scheduler.Team{"t0": {MaxCPUs: size.teamCPUs, CPUs: size.teamCPUs / 3}, "t1": {}}, GuaranteeS: 10,
 		Objectives: map[string][]scheduler.Objective{"quick": {{Kind: "deadline", Times: 1}, {Kind: "wait", WithinS: 3}}, "batch": {{Kind: "finished", WithinS: 120}}},
 		ReportS:    0.8, LeaseS: 6, CancelS: 20, ValueBytes: 8192, TxnOps: 16, ListLagS: 2,
 	}
@@ -144,7 +155,7 @@
 			h.gone = true
 		}
 	}
-	for i := range 3 {
+	for i := range size.members {
 		m := &member{w: w, name: fmt.Sprintf("m%d", i), drift: 1 + (w.rng.Float64()-0.5)*0.001}
 		w.members = append(w.members, m)
 		w.after(int64(i)*37, m.boot)
@@ -343,7 +354,7 @@
 func (h *host) clock(w *world) int64 { return int64(float64(w.now) * h.drift) }
 
 func (w *world) rented(r *standin.Rental) {
-	h := &host{r: r, drift: 1 + (w.rng.Float64()-0.5)*0.001, at: w.rng.IntN(3)}
+	h := &host{r: r, drift: 1 + (w.rng.Float64()-0.5)*0.001, at: w.rng.IntN(w.size.members)}
 	w.hosts[r.ID] = h
 	w.ids = append(w.ids, r.ID)
 	var t scheduler.MachineType
@@ -555,7 +566,7 @@
 func (w *world) submit(n int) {
 	id := fmt.Sprintf("job-%06d", n)
 	j := &simJob{done: map[string]bool{}, job: scheduler.Job{ID: id, Class: "batch", Team: fmt.Sprintf("t%d", n%2), Kind: scheduler.Array, Priority: scheduler.Normal,
-		Tasks: 1 + w.rng.IntN(12), Request: availability.Room{CPUs: 4, MemoryGB: 8, DiskGB: 1}, Image: fmt.Sprintf("img-%d", n%3), Spot: w.rng.IntN(4) > 0, EstimateS: 5}}
+		Tasks: 1 + w.rng.IntN(w.size.tasks), Request: availability.Room{CPUs: 4, MemoryGB: 8, DiskGB: 1}, Image: fmt.Sprintf("img-%d", n%3), Spot: w.rng.IntN(4) > 0, EstimateS: 5}}
 	switch w.rng.IntN(8) {
 	case 0:
 		j.job.Class, j.job.Priority, j.job.DeadlineS = "quick", scheduler.High, 40
@@ -759,24 +770,46 @@
 	for seed := range uint64(simSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(seed, sabotage{})
+			w := newWorld(seed, sabotage{}, smallScale)
 			w.trace = *trace == int(seed)
 			w.run(180_000, 900_000, 60)
-			for _, l := range w.log {
-				fmt.Println(l)
-			}
-			for rule, what := range w.broken {
-				t.Errorf("%s: %s", rule, what)
-			}
-			for _, id := range w.order {
-				if j := w.jobs[id]; !j.told.Final() {
-					t.Errorf("%s is not over: accepted %v, %d of %d done, cancel %v", id, j.accepted, len(j.done), j.job.Tasks, j.cancel)
-				}
+			w.check(t)
+		})
+	}
+}
+
+// Five members with hundreds of machines, and jobs that no shard holds alone.
+func TestRulesHoldAtScale(t *testing.T) {
+	for seed := range uint64(simScaleSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(1000+seed, sabotage{}, scale{members: 5, capacity: 50, tasks: 150, teamCPUs: 600})
+			w.run(60_000, 600_000, 50)
+			w.check(t)
+			if len(w.ids) < 80 {
+				t.Errorf("only %d machines were rented", len(w.ids))
 			}
 		})
 	}
 }
 
+const simScaleSeeds = 3
+
+// check fails the test for each broken rule and each job that never ended.
+func (w *world) check(t *testing.T) {
+	for _, l := range w.log {
+		fmt.Println(l)
+	}
+	for rule, what := range w.broken {
+		t.Errorf("%s: %s", rule, what)
+	}
+	for _, id := range w.order {
+		if j := w.jobs[id]; !j.told.Final() {
+			t.Errorf("%s is not over: accepted %v, %d of %d done, cancel %v", id, j.accepted, len(j.done), j.job.Tasks, j.cancel)
+		}
+	}
+}
+
 // TestChecksFail breaks what the cores or the world are told, once a rule, and
 // expects the simulation to notice: a check that cannot fail checks nothing.
 func TestChecksFail(t *testing.T) {
@@ -815,7 +848,7 @@
 	} {
 		t.Run(rule, func(t *testing.T) {
 			for seed := range uint64(4) {
-				w := newWorld(100+seed, sab)
+				w := newWorld(100+seed, sab, smallScale)
 				if rule == "ran_cancelled" {
 					// Long tasks, or they end by themselves in time.
 					w.longRuns()
