Users are told at once while the state service is silent or the budget is taken

Cause: with a state service that gives no answer at all (a cut that holds packets) each request of a user took two timeouts of 2 s to learn it, and one whose turn in the rate budget would come after its patience waited for it in vain. Both get 503 with Retry-After at once now; the first answer of the service ends it, and the hold asks again within 0.1 s.

--- a/internal/rest/rest.go
+++ b/internal/rest/rest.go
@@ -111,6 +111,13 @@
 	}
 	b.mu.Lock()
 	urgency = min(max(urgency, 0), len(b.queues)-1)
+	if patience > 0 && b.wait(urgency, cost) > patience {
+		// It would be dropped when its time is up; whoever asks is better
+		// told now.
+		b.mu.Unlock()
+		go drop()
+		return
+	}
 	b.queues[urgency] = append(b.queues[urgency], j)
 	b.mu.Unlock()
 	select {
@@ -119,6 +126,22 @@
 	}
 }
 
+// wait is how long a request would wait behind those that go before it.
+func (b *Budget) wait(urgency, cost int) time.Duration {
+	requests, writes := 1.0, float64(cost)
+	for _, q := range b.queues[:urgency+1] {
+		for _, j := range q {
+			requests++
+			writes += float64(j.cost)
+		}
+	}
+	s := (requests - float64(b.requests.Burst())) / float64(b.requests.Limit())
+	if b.writes != nil && cost > 0 {
+		s = max(s, (writes-float64(b.writes.Burst()))/float64(b.writes.Limit()))
+	}
+	return time.Duration(max(0, s) * float64(time.Second))
+}
+
 func (b *Budget) take() (job, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -105,6 +105,8 @@
 	dos     map[uint64]func(DoResult)
 	started int64
 
+	silentSince int64 // when the first of the store's requests failed that had no answer, 0: the last had one
+
 	// The mirror of everything live.
 	revs      map[string]uint64 // revision of every mirrored key
 	tombs     map[string]uint64 // removals that the watch has not passed yet
@@ -223,10 +225,23 @@
 	m.now = now
 	if f := m.store[id]; f != nil {
 		delete(m.store, id)
+		if r.Outcome != Unknown {
+			m.silentSince = 0
+		} else if m.silentSince == 0 {
+			m.silentSince = now.Steady
+			m.nextHold = min(m.nextHold, now.Steady+100) // asks again soon
+		}
 		f(r)
 	}
 }
 
+// silent tells whether the state service has given no answer of any kind for a
+// while. Users then hear at once that they must come back: each request would
+// take its whole patience to learn the same.
+func (m *Member) silent() bool {
+	return m.silentSince != 0 && m.now.Steady-m.silentSince > min(m.step(), 500)
+}
+
 func (m *Member) askCloud(op CloudOp, done func(CloudResult)) {
 	m.nextID++
 	op.ID = m.nextID
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -262,3 +262,29 @@
 		}
 	}
 }
+
+// While the state service gives no answer at all, users are told at once to come
+// back; its first answer ends that.
+func TestUsersAreNotHeldWhileTheStoreIsSilent(t *testing.T) {
+	m, _, _ := holding(t)
+	ask := func(reply uint64) (UserAnswer, bool) {
+		m.User(m.now, reply, UserRequest{Kind: Query, ID: "job-000009"})
+		a, ok := m.out.Users[reply]
+		return a, ok
+	}
+	if _, ok := ask(1); ok {
+		t.Fatal("a question is answered without the store")
+	}
+	lost := m.Take().Store
+	m.StoreDone(Now{2000, 2000}, lost[0].ID, StoreResult{Outcome: Unknown})
+	m.now = Now{3000, 3000}
+	if a, ok := ask(2); !ok || a.Status != 503 || a.RetryS < 1 {
+		t.Errorf("a question to a silent store gets %+v", a)
+	}
+	m.out = Outputs{}
+	m.ask(StoreOp{Kind: StoreGet, Key: "x"}, func(StoreResult) {})
+	m.StoreDone(m.now, m.Take().Store[0].ID, StoreResult{Outcome: NotFound})
+	if _, ok := ask(3); ok {
+		t.Error("users are refused after the store has answered")
+	}
+}
--- a/scheduler/users.go
+++ b/scheduler/users.go
@@ -47,6 +47,10 @@
 		m.reply(reply, f.answer(r.ID))
 		return
 	}
+	if m.silent() && !(r.Kind == Submit && r.ID == "") {
+		m.reply(reply, unavailable(r.ID, "state service does not answer"))
+		return
+	}
 	switch r.Kind {
 	case Submit:
 		m.submit(reply, r)
