--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -379,6 +379,11 @@
 				if spotOnly && !spot || !m.allowed(g.j, n, z, spot) || m.now.Steady < m.fleet.refused[o] {
 					continue
 				}
+				if !spot && g.j.Spot && up+g.length > g.due {
+					// It would come too late for the aim it is asked
+					// for: not worth several times the price.
+					continue
+				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/grebedock/grebedock/availability"
@@ -56,7 +58,7 @@
 func TestWorkOfAnEndedClaimIsReplaced(t *testing.T) {
 	m := testMember(t)
 	m.synced = true
-	own, adopted := newShard("m0", 0, 1, 0), newShard("m1", 0, 2, 0)
+	own, adopted := newShard("m0", 0, 1), newShard("m1", 0, 2)
 	m.mine["m0"], m.mine["m1"] = own, adopted
 	key := jobKey("job-000001")
 	m.apply(Item{Key: key, Value: encode(testJob(Range{Lo: 0, Hi: 2, Shard: "m1"})), Rev: 5})
@@ -100,7 +102,7 @@
 	m := testMember(t)
 	m.p.Teams = map[string]Team{"ops": {MaxCPUs: 64}}
 	m.synced, m.rev = true, 20
-	s := newShard("m0", 0, 1, 0)
+	s := newShard("m0", 0, 1)
 	m.mine["m0"] = s
 	m.apply(Item{Key: teamKey("ops"), Value: encode(teamRecord{Parts: map[string]amounts{"m0": {CPUs: 32}, "m1": {CPUs: 32}}}), Rev: 21})
 	m.writeTeam(s, "ops", func(r *teamRecord) { r.Parts["m0"], r.Parts["m1"] = amounts{}, amounts{CPUs: 64} })
@@ -142,7 +144,7 @@
 	m.now = Now{1000, 1000}
 	m.holdAt, m.freshAt = 1000, 1000
 	m.setTypes([]MachineType{{Name: "small", Room: availability.Room{CPUs: 8, MemoryGB: 32}, BootS: 10, Zones: []string{"a"}}})
-	s := newShard("m0", 7, 5, 1000)
+	s := newShard("m0", 7, 5)
 	s.ready = true
 	m.mine["m0"] = s
 	m.apply(Item{Key: shardKey("m0"), Value: encode(shardRecord{"m0", 7}), Rev: 11})
@@ -288,3 +290,129 @@
 		t.Error("users are refused after the store has answered")
 	}
 }
+
+// A limited team's whole limit is with one shard, the same for every member, and
+// its jobs go there.
+func TestLimitedTeamsHaveAHome(t *testing.T) {
+	teams := map[string]Team{"a": {MaxCPUs: 64}, "b": {MaxCPUs: 64}, "free": {}}
+	homes := map[string]map[string]string{}
+	for _, me := range []string{"m0", "m1"} {
+		p := Params{Member: me, Peers: []string{"m0", "m1"}, Teams: teams, ReportS: 1, LeaseS: 10, CancelS: 30, ValueBytes: 8192, TxnOps: 16}
+		p.Peers = slices.DeleteFunc(p.Peers, func(n string) bool { return n == me })
+		m := New(p, 1, Now{1, 1})
+		homes[me] = m.homes
+		for name, limit := range teams {
+			sum := 0.0
+			for _, part := range m.parts(name) {
+				sum += part.CPUs
+			}
+			if sum != limit.MaxCPUs {
+				t.Errorf("the parts of %s add up to %v of %v", name, sum, limit.MaxCPUs)
+			}
+		}
+		for _, team := range []string{"a", "b"} {
+			for _, r := range m.allot(&Job{ID: "job-000001", Kind: Array, Team: team, Tasks: 5}) {
+				if r.Shard != m.homes[team] {
+					t.Errorf("tasks of %s go to %s from %s, not to its home %s", team, r.Shard, me, m.homes[team])
+				}
+			}
+		}
+	}
+	if !maps.Equal(homes["m0"], homes["m1"]) || homes["m0"]["a"] == homes["m0"]["b"] {
+		t.Errorf("homes %v", homes)
+	}
+}
+
+// A team's limit admits like a queue: a job that cannot be done in time goes
+// behind one that can, though its deadline is earlier.
+func TestTeamLimitAdmitsWhatItEndsInTime(t *testing.T) {
+	m, s, _ := holding(t)
+	m.p.Teams = map[string]Team{"ops": {MaxCPUs: 4}}
+	m.homes = map[string]string{"ops": "m0"}
+	put := func(id string, tasks int, deadline float64, rev uint64) {
+		rec := testJob(Range{Lo: 0, Hi: tasks, Shard: "m0"})
+		rec.Job.ID, rec.Job.Team, rec.Job.EstimateS, rec.Job.DeadlineS, rec.Accepted = id, "ops", 10, deadline, m.now.Wall
+		m.apply(Item{Key: jobKey(id), Value: encode(rec), Rev: rev})
+	}
+	put("job-000001", 40, 50, 21) // 100 s of the whole limit
+	put("job-000002", 8, 60, 22)  // 20 s
+	gs := m.groups(s)
+	if len(gs) != 2 || gs[0].j.ID != "job-000002" || !gs[1].lost {
+		t.Errorf("%s goes first, the other is lost: %v", gs[0].j.ID, gs[1].lost)
+	}
+}
+
+// Ordinary machines are not rented for an aim that they come too late for.
+func TestNoOrdinaryMachineThatComesTooLate(t *testing.T) {
+	m, _, _ := holding(t)
+	m.setTypes([]MachineType{{Name: "small", Room: availability.Room{CPUs: 8, MemoryGB: 32}, BootS: 10, Price: 1, SpotPrice: 0.25, Zones: []string{"a"}}})
+	m.fleet.refused[offer{"small", "a", true}] = m.now.Steady + 100_000
+	for within, want := range map[int64]bool{15_000: false, 25_000: true} {
+		g := &group{j: &Job{Spot: true, Request: availability.Room{CPUs: 1}}, left: 8, length: 10_000, due: m.now.Wall + within}
+		if o, ok := m.cheapest(g, false, map[offer]offer{}); ok != want {
+			t.Errorf("with %d ms left: %v, %v", within, o, ok)
+		}
+	}
+}
+
+// Both the rosters' and the lists' machines come and go with their records, and a
+// machine that is listed as up before its roster is known counts as up.
+func TestRostersAndLists(t *testing.T) {
+	m := testMember(t)
+	m.synced = true
+	m.apply(Item{Key: upPrefix + "m0/0", Value: encode(upRecord{[]string{"i-1"}}), Rev: 4})
+	m.apply(Item{Key: machinePrefix + "1-1", Value: encode(rosterRecord{Shard: "m0", Type: "small", Machines: []string{"i-1", "i-2"}}), Rev: 5})
+	if len(m.machines) != 2 || !m.machines["i-1"].up || m.machines["i-2"].up {
+		t.Fatalf("machines %v", m.machines)
+	}
+	if m.machines["i-1"].settled() || !m.machines["i-2"].settled() {
+		t.Error("only a machine that is up may run what an earlier claim started")
+	}
+	m.apply(Item{Key: machinePrefix + "1-1", Value: encode(rosterRecord{Shard: "m0", Type: "small", Machines: []string{"i-2"}}), Rev: 6})
+	if len(m.machines) != 1 || m.machines["i-2"] == nil {
+		t.Errorf("machines %v", m.machines)
+	}
+	m.apply(Item{Key: machinePrefix + "1-1", Rev: 7})
+	if len(m.machines) != 0 {
+		t.Errorf("machines %v", m.machines)
+	}
+}
+
+// A shard is ready only when the mirror has passed its claim: what the earlier
+// claim listed as up last of all may run tasks that would start a second time.
+func TestShardWaitsForTheMirror(t *testing.T) {
+	m, s, _ := holding(t)
+	s.ready, s.read = false, true
+	m.rev = s.base - 1
+	m.tickShard(s)
+	if s.ready {
+		t.Error("ready before the mirror has passed the claim")
+	}
+	m.rev = s.base
+	m.tickShard(s)
+	if !s.ready {
+		t.Error("not ready though everything is known")
+	}
+}
+
+// Each member takes its part of a peer's room only, and uses it up.
+func TestPeersRoomIsShared(t *testing.T) {
+	m := New(Params{Member: "m0", Peers: []string{"m1", "m2", "m3"}, ReportS: 1, LeaseS: 10, CancelS: 30, ValueBytes: 8192, TxnOps: 16}, 1, Now{1000, 1000})
+	m.synced = true
+	m.setTypes([]MachineType{{Name: "small", Room: availability.Room{CPUs: 1, MemoryGB: 32}, Zones: []string{"a"}}})
+	m.shards["m1"] = shardRecord{Holder: "m1"}
+	free := availability.Function{Kind: machineKind("small", "a", false), Count: 30, Room: availability.Room{CPUs: 1, MemoryGB: 32},
+		Samples: []availability.Sample{{At: 1000}, {At: 101_000, Free: 100_000}}}
+	m.peers["m1"] = &peerState{at: 1000, msg: PeerMessage{From: "m1", Shards: []ShardReport{{Shard: "m1", Summary: availability.Summary{free}}}}}
+	j := &Job{Request: availability.Room{CPUs: 1}, Tasks: 100}
+	offers := m.peerOffers(j, 10_000, 12_000, 100)
+	if len(offers) != 1 || offers[0].n != 10 {
+		t.Fatalf("offers %+v", offers)
+	}
+	if n := m.peerRoom(offers[0].sr, j, 10_000, 12_000, 10, true); n != 10 {
+		t.Errorf("%d tasks taken", n)
+	}
+	if n := m.peerRoom(offers[0].sr, j, 10_000, 12_000, 100, false); n != 20 {
+		t.Errorf("%d left", n)
+	}
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -19,7 +19,6 @@
 // planMachine is a machine as the planner sees it.
 type planMachine struct {
 	mc    *machine // nil: one that might be rented
-	id    string
 	typ   *MachineType
 	zone  string
 	spot  bool
@@ -138,7 +137,7 @@
 		}
 		t := m.types[mc.rec.Type]
 		pm := &mc.pm
-		*pm = planMachine{mc: mc, id: mc.id, typ: t, zone: mc.rec.Zone, spot: mc.rec.Spot, kind: kindKey{t.Name, mc.rec.Zone, mc.rec.Spot},
+		*pm = planMachine{mc: mc, typ: t, zone: mc.rec.Zone, spot: mc.rec.Spot, kind: kindKey{t.Name, mc.rec.Zone, mc.rec.Spot},
 			upAt: wall, free: t.Room, up: mc.confirmed, lanes: pm.lanes[:0]}
 		if !mc.up {
 			pm.upAt = mc.rec.Rented + ms(t.BootS)
--- a/scheduler/scale_test.go
+++ b/scheduler/scale_test.go
@@ -21,7 +21,7 @@
 		{Name: "small", Room: availability.Room{CPUs: 8, MemoryGB: 64, DiskGB: 30}, FetchGBps: 1, BootS: 10, Zones: []string{"a", "b"}},
 		{Name: "large", Room: availability.Room{CPUs: 32, MemoryGB: 128, DiskGB: 50}, FetchGBps: 1, BootS: 10, Zones: []string{"a"}},
 	})
-	s := newShard("m0", 7, 5, m.now.Steady)
+	s := newShard("m0", 7, 5)
 	s.ready = true
 	m.mine["m0"] = s
 	rng := rand.New(rand.NewPCG(1, 2))
@@ -76,16 +76,36 @@
 	}
 }
 
+// BenchmarkSummary also tells what the limits lose: which share of the tasks that
+// the shard's own queues can end in time its summary still promises, for work to
+// start now and for work with some time.
 func BenchmarkSummary(b *testing.B) {
 	for _, c := range sizes {
-		b.Run(fmt.Sprintf("%dx%d", c.machines, c.jobs), func(b *testing.B) {
-			m, s := fleetOf(b, c.machines, c.jobs)
-			m.plan(s)
-			b.ReportAllocs()
-			for b.Loop() {
-				m.summary(s)
-			}
-		})
+		for _, limit := range [][2]int{{125, 10}, {60, 10}, {30, 10}, {125, 4}} {
+			b.Run(fmt.Sprintf("%dx%d/%dx%d", c.machines, c.jobs, limit[0], limit[1]), func(b *testing.B) {
+				m, s := fleetOf(b, c.machines, c.jobs)
+				m.plan(s)
+				m.settings.Functions, m.settings.Samples = limit[0], limit[1]
+				b.ReportAllocs()
+				for b.Loop() {
+					m.summary(s)
+				}
+				b.ReportMetric(float64(len(m.summary(s))), "functions")
+				promised := func(functions, samples int, within int64) float64 {
+					m.settings.Functions, m.settings.Samples = functions, samples
+					n := 0
+					for _, f := range m.summary(s) {
+						n += f.Tasks(availability.Room{CPUs: 4, MemoryGB: 14}, m.now.Wall+within, 20_000, 1<<30)
+					}
+					return float64(n)
+				}
+				for _, within := range []int64{25_000, 100_000, 400_000} {
+					if all := promised(1<<20, 1<<10, within); all > 0 {
+						b.ReportMetric(promised(limit[0], limit[1], within)/all, fmt.Sprintf("kept@%ds", within/1000))
+					}
+				}
+			})
+		}
 	}
 }
 
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -20,8 +20,7 @@
 	raising bool
 	void    uint64 // commands with this token or a lower one must not run any more
 	raiseAt int64
-	at      int64 // steady time of the claim
-	ready   bool  // progress is read
+	ready   bool // progress is read
 	reading bool
 	read    bool
 	counter uint64
@@ -56,8 +55,8 @@
 	needs                            []Need
 }
 
-func newShard(name string, nonce, rev uint64, now int64) *shard {
-	return &shard{name: name, nonce: nonce, base: rev, token: rev, at: now, dirty: true, use: map[string]availability.Room{}, rest: map[string]float64{}, pages: map[string]*page{}}
+func newShard(name string, nonce, rev uint64) *shard {
+	return &shard{name: name, nonce: nonce, base: rev, token: rev, dirty: true, use: map[string]availability.Room{}, rest: map[string]float64{}, pages: map[string]*page{}}
 }
 
 // attemptsPerClaim is the room for attempt numbers in one claim. A number is
@@ -96,7 +95,6 @@
 	retryAt  int64 // after errors: wait until then
 	errors   int
 	failed   map[string]int // machine: errors of this job there
-	since    int64
 	moving   bool
 	running  int            // attempts that run
 	zones    map[string]int // zone: live attempts
@@ -174,7 +172,7 @@
 			return
 		}
 		delete(m.claiming, name)
-		m.mine[name] = newShard(name, nonce, rev, m.now.Steady)
+		m.mine[name] = newShard(name, nonce, rev)
 		m.Counters.Claims++
 		m.log(Info, "shard claimed", "shard", name, "token", rev)
 		m.beginShard(m.mine[name])
@@ -336,7 +334,7 @@
 			// left a range that nobody ran.
 			n := r.Hi - r.Lo
 			w = &work{job: j, rng: r, shard: r.Shard, claim: s, done: newBits(n), busy: newBits(n), stored: newBits(n),
-				recovered: recovered, since: m.now.Wall, zones: map[string]int{}}
+				recovered: recovered, zones: map[string]int{}}
 			j.works[r.Lo] = w
 			at, _ := slices.BinarySearchFunc(s.works, w, (*work).compare)
 			s.works = slices.Insert(s.works, at, w)
