--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -741,7 +741,13 @@
 				here = g
 				break
 			}
-			x = min(x, g.due-g.length-fetch)
+			// One that can still start as its class asks must not wait past
+			// that, whatever its deadline.
+			by := g.due
+			if g.tight < by && g.tight-g.length-fetch > m.now.Wall {
+				by = g.tight
+			}
+			x = min(x, by-g.length-fetch)
 		}
 		g := here
 		if g == nil {
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -416,3 +416,30 @@
 		t.Errorf("%d left", n)
 	}
 }
+
+// A machine with room takes a task whose image it has before one that would have
+// to fetch, but not past the start that the latter's class asks for.
+func TestPickKeepsStartAims(t *testing.T) {
+	for _, c := range []struct {
+		tight int64 // how long until the first job must end to have started in time
+		want  string
+	}{{40_000, "job-000002/0"}, {13_000, "job-000001/0"}} {
+		m, s, mc := holding(t)
+		m.setTypes([]MachineType{{Name: "small", Room: availability.Room{CPUs: 8, MemoryGB: 32}, FetchGBps: 1, BootS: 10, Zones: []string{"a"}}})
+		mc.images["here"] = 1
+		s.spare = 8
+		for i, image := range []string{"away", "here"} {
+			rec := testJob(Range{Lo: 0, Hi: 1, Shard: "m0"})
+			rec.Job.ID = []string{"job-000001", "job-000002"}[i]
+			rec.Job.Image, rec.Job.Request = image, availability.Room{CPUs: 8, DiskGB: 2}
+			m.apply(Item{Key: jobKey(rec.Job.ID), Value: encode(rec), Rev: uint64(20 + i)})
+			w := m.jobs[rec.Job.ID].works[0]
+			s.queue = append(s.queue, &group{w: w, j: &w.job.rec.Job, length: 10_000, tight: m.now.Wall + c.tight, due: m.now.Wall + 100_000})
+		}
+		mc.commands = nil
+		m.pick(s, mc, &Report{Session: 1, Seq: 4})
+		if len(mc.commands) != 1 || mc.commands[0].Task != c.want {
+			t.Errorf("with %d ms to the aim: %+v, not %s", c.tight, mc.commands, c.want)
+		}
+	}
+}
