--- a/internal/rest/rest.go
+++ b/internal/rest/rest.go
@@ -135,9 +135,9 @@
 			writes += float64(j.cost)
 		}
 	}
-	s := (requests - float64(b.requests.Burst())) / float64(b.requests.Limit())
+	s := (requests - b.requests.Tokens()) / float64(b.requests.Limit())
 	if b.writes != nil && cost > 0 {
-		s = max(s, (writes-float64(b.writes.Burst()))/float64(b.writes.Limit()))
+		s = max(s, (writes-b.writes.Tokens())/float64(b.writes.Limit()))
 	}
 	return time.Duration(max(0, s) * float64(time.Second))
 }
