--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -36,6 +36,9 @@
 	length   int64 // expected run time
 	fetch    int64 // expected fetch time
 	saving   bool
+
+	stopped    bool // to be stopped for a higher priority
+	stoppedFor Priority
 }
 
 // ends is when the attempt is expected to end. One that overran is expected to
@@ -181,6 +184,9 @@
 	}
 	a.claim.use[a.job.Team] = a.claim.use[a.job.Team].Sub(a.job.Request)
 	a.claim.dirty = true
+	if a.stopped {
+		m.owe(a.claim, a)
+	}
 	a.claim.spare += a.job.Request.CPUs
 	mc.live--
 	mc.use = mc.use.Sub(a.job.Request)
@@ -468,6 +474,10 @@
 			mc.commands = append(mc.commands, Command{Kind: Stop, Task: t.Task, Attempt: t.Attempt})
 			return
 		}
+		if a.stopped && (t.State == "running" || t.State == "fetching") {
+			mc.commands = append(mc.commands, Command{Kind: Stop, Task: t.Task, Attempt: t.Attempt, GraceS: a.job.SaveS + m.p.ReportS})
+			return
+		}
 		m.saveBeforeEnd(mc, a, t)
 		return
 	}
@@ -479,7 +489,14 @@
 			w.dirty = true
 			delete(mc.faults, a.job.ID)
 			if a.running {
-				m.learn(&a.job, m.now.Wall-a.ranAt)
+				m.learn(&a.job, m.now.Wall-a.ranAt+w.saved[a.index])
+			}
+		case "stopped":
+			if t.Saved && a.running {
+				if w.saved == nil {
+					w.saved = map[int]int64{}
+				}
+				w.saved[a.index] += max(0, m.now.Wall-a.ranAt-ms(a.job.SaveS))
 			}
 		case "error":
 			m.failed(mc, w, a)
@@ -704,9 +721,11 @@
 // next.
 func (m *Member) start(s *shard, mc *machine, w *work, i int, length, fetch int64, r *Report) {
 	j := &w.job.rec.Job
+	length = max(length-w.saved[i], length/8)
 	a := &attempt{key: attemptKey{taskName(j.ID, w.rng.Lo+i), s.nextAttempt()}, job: *j, work: w, claim: s, index: i, shard: s.name,
 		machine: mc.id, session: r.Session, afterSeq: r.Seq, placedAt: m.now.Wall, length: length, fetch: fetch}
 	m.begin(mc, a)
+	m.repay(s, j)
 	m.Counters.Starts++
 	m.log(Debug, "start", "task", a.key.task, "attempt", a.key.attempt, "machine", mc.id)
 	mc.commands = append(mc.commands, Command{Kind: Start, Task: a.key.task, Attempt: a.key.attempt})
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -154,16 +154,17 @@
 
 // Counters counts what operators watch.
 type Counters struct {
-	Starts   uint64 `json:"starts"`
-	Lost     uint64 `json:"lost"`
-	Errors   uint64 `json:"errors"`
-	Claims   uint64 `json:"claims"`
-	Rented   uint64 `json:"rented"`
-	Returned uint64 `json:"returned"`
-	Moved    uint64 `json:"moved"`
-	Replans  uint64 `json:"replans"`
-	Accepted uint64 `json:"accepted"`
-	Finished uint64 `json:"finished"`
+	Starts    uint64 `json:"starts"`
+	Lost      uint64 `json:"lost"`
+	Errors    uint64 `json:"errors"`
+	Claims    uint64 `json:"claims"`
+	Rented    uint64 `json:"rented"`
+	Returned  uint64 `json:"returned"`
+	Moved     uint64 `json:"moved"`
+	Replans   uint64 `json:"replans"`
+	Accepted  uint64 `json:"accepted"`
+	Finished  uint64 `json:"finished"`
+	Preempted uint64 `json:"preempted"`
 }
 
 type waiter struct {
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -443,3 +443,77 @@
 		}
 	}
 }
+
+// A team whose limit a lower priority fills gets its guarantee for a higher one
+// by stopping tasks that lose nothing: saving ones, or ones whose image is not
+// there. What they give up goes to whom they were stopped for.
+func TestSavingTasksMakeRoomForTheGuarantee(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		checkpoint         float64
+		state              string
+		guarantee, overdue float64
+		stops              bool
+	}{
+		{"saves", 1, "running", 4, 0, true},
+		{"loses its work", 0, "running", 4, 0, false},
+		{"does not run yet", 0, "fetching", 4, 0, true},
+		{"no guarantee", 1, "running", 0, 0, false},
+		{"would be late by it", 1, "running", 4, 25, false},
+	} {
+		m, s, mc := holding(t)
+		m.p.Teams = map[string]Team{"ops": {CPUs: c.guarantee, MaxCPUs: 4}}
+		m.p.GuaranteeS = 10
+		m.homes = map[string]string{"ops": "m0"}
+		put := func(id string, p Priority, tasks int, cpus, checkpoint, deadline float64, rev uint64) {
+			rec := testJob(Range{Lo: 0, Hi: tasks, Shard: "m0"})
+			j := &rec.Job
+			j.ID, j.Team, j.Priority, j.EstimateS, j.DeadlineS, rec.Accepted = id, "ops", p, 20, deadline, m.now.Wall
+			j.Request.CPUs, j.CheckpointS, j.SaveS = cpus, checkpoint, checkpoint
+			m.apply(Item{Key: jobKey(id), Value: encode(rec), Rev: rev})
+		}
+		seq := uint64(3)
+		report := func(tasks ...TaskReport) []Command {
+			seq++
+			m.Report(m.now, seq, Report{Machine: "i-1", Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: seq, Token: 11, Tasks: tasks})
+			return m.Take().Workers[seq].Commands
+		}
+		put("job-000001", Normal, 1, 4, c.checkpoint, c.overdue, 21)
+		m.plan(s)
+		cs := report()
+		if len(cs) != 1 {
+			t.Fatalf("%s: the first job is told %+v", c.name, cs)
+		}
+		task := TaskReport{Task: cs[0].Task, Attempt: cs[0].Attempt, State: c.state}
+		report(task)
+		put("job-000002", High, 2, 2, 0, 60, 22)
+		m.plan(s)
+		cs = report(task)
+		if stopped := len(cs) == 1 && cs[0].Kind == Stop && cs[0].GraceS >= c.checkpoint; stopped != c.stops || !stopped && len(cs) > 0 {
+			t.Errorf("%s: told %+v", c.name, cs)
+			continue
+		}
+		if !c.stops {
+			continue
+		}
+		if use := s.use["ops"].CPUs; use != 4 {
+			t.Errorf("%s: a task that was told to stop no longer counts: %g in use", c.name, use)
+		}
+		m.now = Now{m.now.Steady + 2000, m.now.Wall + 2000}
+		m.holdAt, m.freshAt = m.now.Steady, m.now.Steady
+		task.State, task.Why, task.Saved = "exited", "stopped", c.checkpoint > 0
+		m.plan(s)
+		var started []string
+		for _, cmd := range report(task) {
+			if cmd.Kind == Start {
+				started = append(started, cmd.Task)
+			}
+		}
+		if !slices.Equal(started, []string{"job-000002/0", "job-000002/1"}) {
+			t.Errorf("%s: %v start when it is over", c.name, started)
+		}
+		if mc.live != 2 {
+			t.Errorf("%s: %d attempts on the machine", c.name, mc.live)
+		}
+	}
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -451,13 +451,16 @@
 		if m.now.Steady < g.w.retryAt || m.blocked(s, g.w) || g.w.moving {
 			continue
 		}
-		if cap := m.teamCopies(s, g.j); cap < g.left {
+		cap := m.teamCopies(s, g.j)
+		if cap < g.left {
 			// More cannot run at once; asking for machines would not help.
 			m.wantTeam(s, g.j, g.left-cap)
-			g.left = cap
+			g.left = cap + m.preemptable(s, g, g.left-cap)
 		}
 		if g.left > 0 {
-			m.place(s, g)
+			if started := m.place(s, g); started > cap {
+				m.preempt(s, g, started-cap)
+			}
 		}
 	}
 }
@@ -514,10 +517,11 @@
 	return slices.ContainsFunc(m.p.Objectives[j.Class], func(o Objective) bool { return o.Kind == "wait" })
 }
 
-func (m *Member) place(s *shard, g *group) {
+// place admits a group to the shard's machines and returns how many of its
+// tasks start now.
+func (m *Member) place(s *shard, g *group) (started int) {
 	open, all := m.order(s.pms, g)
 	total := g.left
-	started := 0
 	defer func() { g.waiting = total - started }()
 	only := anyKind
 	aimOnly := false
@@ -563,7 +567,7 @@
 			if missing > 0 {
 				s.needs = append(s.needs, Need{Job: g.j.ID, Count: missing, Deadline: g.due, Length: g.length})
 			}
-			return
+			return 0
 		}
 	}
 	wall := m.now.Wall
@@ -605,7 +609,7 @@
 	g.w.admitted = g.left < total
 	need(dear, g.due, true)
 	if g.left <= 0 {
-		return
+		return started
 	}
 	need(g.left, g.due, false)
 	g.dear = true
@@ -617,6 +621,7 @@
 		late := max(g.due, wall) + int64(float64(span)*m.settings.LateShare*float64(i))
 		pass(late, queued)
 	}
+	return started
 }
 
 // gangFits tells whether all of a gang's waiting tasks can start now: one that
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -34,6 +34,7 @@
 	machines []*machine
 	works    []*work
 	use      map[string]availability.Room // by team, of live attempts
+	owed     map[string]owed              // by team, of its limit
 	rest     map[string]float64           // by team: what they have left to do, in processor milliseconds
 	pages    map[string]*page
 
@@ -56,7 +57,7 @@
 }
 
 func newShard(name string, nonce, rev uint64) *shard {
-	return &shard{name: name, nonce: nonce, base: rev, token: rev, dirty: true, use: map[string]availability.Room{}, rest: map[string]float64{}, pages: map[string]*page{}}
+	return &shard{name: name, nonce: nonce, base: rev, token: rev, dirty: true, use: map[string]availability.Room{}, rest: map[string]float64{}, owed: map[string]owed{}, pages: map[string]*page{}}
 }
 
 // attemptsPerClaim is the room for attempt numbers in one claim. A number is
@@ -95,6 +96,7 @@
 	retryAt  int64 // after errors: wait until then
 	errors   int
 	failed   map[string]int // machine: errors of this job there
+	saved    map[int]int64  // task: how long it had run when it saved and stopped
 	moving   bool
 	running  int            // attempts that run
 	zones    map[string]int // zone: live attempts
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/grebedock/grebedock/availability"
@@ -122,6 +123,7 @@
 	size    scale
 	trace   bool
 	log     []string
+	stops   int64 // tasks stopped for a higher priority
 }
 
 var trace = flag.Int("sim", -1, "print what happened with this seed of the simulation")
@@ -257,6 +259,9 @@
 	w, epoch := m.w, m.epoch
 	o := m.core.Take()
 	for _, l := range o.Logs {
+		if l.Text == "task stopped for a higher priority" {
+			w.stops++
+		}
 		w.tell("%s %s %v", m.name, l.Text, l.Args)
 	}
 	for _, id := range slices.Sorted(maps.Keys(o.Workers)) {
@@ -767,6 +772,12 @@
 const simSeeds = 24
 
 func TestRulesHoldWhateverFails(t *testing.T) {
+	var stops atomic.Int64
+	t.Cleanup(func() {
+		if stops.Load() == 0 && *trace < 0 {
+			t.Error("no task was stopped for a higher priority")
+		}
+	})
 	for seed := range uint64(simSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -774,6 +785,7 @@
 			w.trace = *trace == int(seed)
 			w.run(180_000, 900_000, 60)
 			w.check(t)
+			stops.Add(w.stops)
 		})
 	}
 }
--- a/scheduler/teams.go
+++ b/scheduler/teams.go
@@ -95,7 +95,7 @@
 
 func (m *Member) teamAllows(s *shard, j *Job) bool {
 	r, limited := m.teamRoom(s, j.Team)
-	return !limited || r.Holds(withoutDisk(j.Request))
+	return !limited || r.Sub(m.owedTo(s, j)).Holds(withoutDisk(j.Request))
 }
 
 // teamCopies is how many tasks of a job its team's part takes now.
@@ -104,7 +104,7 @@
 	if !limited {
 		return j.Tasks
 	}
-	return r.Copies(withoutDisk(j.Request), j.Tasks)
+	return r.Sub(m.owedTo(s, j)).Copies(withoutDisk(j.Request), j.Tasks)
 }
 
 // wantTeam asks for a larger part of a team's limit: what no shard holds is
