A quick JSON decoder for workers' reports and the services' answers

segmentio/encoding takes half to a quarter of encoding/json's time a report (15 allocations for 24). goccy/go-json was quicker still, but is known for faults on hostile input.

--- a/internal/wire/services.go
+++ b/internal/wire/services.go
@@ -98,7 +98,7 @@
 	r := scheduler.StoreResult{Outcome: scheduler.Unknown}
 	var b stateBody
 	if status == 200 || status == 404 || status == 409 {
-		if err := json.Unmarshal(body, &b); err != nil {
+		if err := unmarshal(body, &b); err != nil {
 			return r
 		}
 	}
@@ -204,7 +204,7 @@
 	case 503:
 		var e errorBody
 		r.Outcome = scheduler.Refused
-		if json.Unmarshal(body, &e) == nil && e.Error == "no capacity" {
+		if unmarshal(body, &e) == nil && e.Error == "no capacity" {
 			r.Outcome = scheduler.NotFound
 		}
 		return r
@@ -218,7 +218,7 @@
 	switch op.Kind {
 	case scheduler.CloudCatalog:
 		var b catalogBody
-		err = json.Unmarshal(body, &b)
+		err = unmarshal(body, &b)
 		for _, t := range b.Types {
 			r.Types = append(r.Types, scheduler.MachineType{Name: t.Name,
 				Room:      availability.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, DiskGB: t.CacheGB},
@@ -226,7 +226,7 @@
 		}
 	case scheduler.CloudList:
 		var b listBody
-		err = json.Unmarshal(body, &b)
+		err = unmarshal(body, &b)
 		r.More = b.More
 		for _, l := range b.Machines {
 			r.List = append(r.List, scheduler.Listed{ID: l.ID, Addr: l.Addr, Type: l.Type, Zone: l.Zone, Spot: l.Spot,
@@ -234,7 +234,7 @@
 		}
 	case scheduler.CloudRent:
 		var b machinesBody
-		err = json.Unmarshal(body, &b)
+		err = unmarshal(body, &b)
 		r.Machines = b.Machines
 	}
 	if err == nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,8 @@
 	"math"
 	"regexp"
 
+	fast "github.com/segmentio/encoding/json"
+
 	"github.com/grebedock/grebedock/availability"
 	"github.com/grebedock/grebedock/scheduler"
 )
@@ -168,7 +170,7 @@
 
 // must encodes a body of ours, which holds nothing that JSON cannot.
 func must(v any) []byte {
-	out, err := json.Marshal(v)
+	out, err := fast.Marshal(v)
 	if err != nil {
 		panic(fmt.Sprintf("wire: %T does not encode: %v", v, err))
 	}
@@ -209,7 +211,7 @@
 // ParseReport reads a worker's report.
 func ParseReport(body []byte) (scheduler.Report, error) {
 	var b reportBody
-	if err := json.Unmarshal(body, &b); err != nil {
+	if err := unmarshal(body, &b); err != nil {
 		return scheduler.Report{}, err
 	}
 	if b.Machine == "" || b.Session == 0 {
