--- a/availability/function.go
+++ b/availability/function.go
@@ -4,19 +4,18 @@
 
 // Sample is one point of a sampled l(δ).
 type Sample struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	At       int64
-	Free     int64
+	At   int64
+	Free int64
 }
 
 // Room is what a queue's tasks may take of their machine. The paper has memory
 // and disk; processors and accelerators are ours, since the machines here are
 // shared by tasks that ask for different parts of them.
 type Room struct {
-	CPUs     float64 `msgpack:"c"`
-	GPUs     float64 `msgpack:"g"`
-	MemoryGB float64 `msgpack:"m"`
-	DiskGB   float64 `msgpack:"d"`
+	CPUs     float64
+	GPUs     float64
+	MemoryGB float64
+	DiskGB   float64
 }
 
 // slack absorbs the rounding of sums of decimal amounts.
@@ -62,10 +61,10 @@
 // Function is a sampled availability function of Count queues with the same
 // Kind. Kind is opaque here; only functions of one kind are merged.
 type Function struct {
-	Kind    string   `msgpack:"k"`
-	Count   int64    `msgpack:"v"`
-	Room    Room     `msgpack:"r"`
-	Samples []Sample `msgpack:"l"`
+	Kind    string
+	Count   int64
+	Room    Room
+	Samples []Sample
 }
 
 // At interpolates l(δ): nothing before the first sample, constant after the
--- /dev/null
+++ b/internal/mesh/bench_test.go
@@ -0,0 +1,58 @@
+package mesh
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/grebedock/grebedock/availability"
+	"github.com/grebedock/grebedock/scheduler"
+)
+
+// aMessage is what a member of a large fleet says: a summary of the paper's
+// size, and a few needs.
+func aMessage() *scheduler.PeerMessage {
+	rng := rand.New(rand.NewPCG(1, 2))
+	sr := scheduler.ShardReport{Shard: "berth-0", Running: map[string]scheduler.Counts{}}
+	for i := range 125 {
+		f := availability.Function{Kind: fmt.Sprintf("s|zone-%d|type-%d", i%4, i%2), Count: 1 + rng.Int64N(5), Room: availability.Room{CPUs: 8, MemoryGB: 27.5, DiskGB: 30}}
+		at := int64(1_790_000_000_000)
+		for range 10 {
+			at += rng.Int64N(60_000)
+			f.Samples = append(f.Samples, availability.Sample{At: at, Free: rng.Int64N(400_000)})
+		}
+		sr.Summary = append(sr.Summary, f)
+	}
+	for i := range 30 {
+		sr.Needs = append(sr.Needs, scheduler.Need{Job: fmt.Sprintf("job-%06d", i), Count: 10, Deadline: 1_790_000_000_000, Length: 30_000})
+		sr.Running[fmt.Sprintf("job-%06d", i)] = scheduler.Counts{Running: 4, Done: 3}
+	}
+	return &scheduler.PeerMessage{From: "berth-0", Wall: 1_790_000_000_000, Shards: []scheduler.ShardReport{sr}}
+}
+
+func BenchmarkEncode(b *testing.B) {
+	msg := aMessage()
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		body, err := encode(msg)
+		if err != nil {
+			b.Fatal(err)
+		}
+		n = len(body)
+	}
+	b.ReportMetric(float64(n), "bytes")
+}
+
+func BenchmarkDecode(b *testing.B) {
+	body, err := encode(aMessage())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := decode(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/grebedock/grebedock/internal/config"
 	"github.com/grebedock/grebedock/internal/front"
@@ -33,8 +32,8 @@
 	app := front.NewApp(sockets, maxMessage)
 	serveAdmin(app, core)
 	app.Post("/peer", func(c *fiber.Ctx) error {
-		var msg scheduler.PeerMessage
-		if err := msgpack.Unmarshal(c.Body(), &msg); err != nil {
+		msg, err := decode(c.Body())
+		if err != nil {
 			return fiber.NewError(fiber.StatusBadRequest, "not a peer's message")
 		}
 		core.Peer(msg)
@@ -70,7 +69,7 @@
 // Send sends a message to all others, or keeps it until the one under way is
 // done: only the newest matters. It is encoded once for all.
 func (p *Peers) Send(msg *scheduler.PeerMessage) {
-	body, err := msgpack.Marshal(msg)
+	body, err := encode(msg)
 	if err != nil {
 		return // nothing in a message cannot be encoded
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -3,9 +3,9 @@
 import (
 	"flag"
 	"reflect"
+	"slices"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/grebedock/grebedock/availability"
@@ -37,13 +37,13 @@
 			Shards: []scheduler.ShardReport{{Shard: "m0", Summary: rapid.SliceOfN(function, 1, 125).Draw(t, "summary"),
 				Needs:   []scheduler.Need{{Job: "job-000001", Count: 3, Deadline: number.Draw(t, "deadline")}},
 				Running: map[string]scheduler.Counts{"job-000001": {Running: 1, Done: 2}}}}}
-		body, err := msgpack.Marshal(&msg)
+		body, err := encode(&msg)
 		if err != nil {
 			t.Fatal(err)
 		}
 		largest = max(largest, len(body))
-		var got scheduler.PeerMessage
-		if err := msgpack.Unmarshal(body, &got); err != nil {
+		got, err := decode(body)
+		if err != nil {
 			t.Fatal(err)
 		}
 		if !reflect.DeepEqual(got, msg) {
@@ -54,3 +54,38 @@
 		t.Errorf("a shard's report takes %d bytes of %d", largest, maxMessage)
 	}
 }
+
+// Whatever a message is cut to or changed into, it is read or refused, and never
+// read as more than its bytes can say.
+func TestHostileMessages(t *testing.T) {
+	good, err := encode(aMessage())
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	rapid.Check(t, func(t *rapid.T) {
+		body := slices.Clone(good[:rapid.IntRange(0, len(good)).Draw(t, "cut")])
+		for range rapid.IntRange(0, 8).Draw(t, "changes") {
+			if len(body) > 0 {
+				body[rapid.IntRange(0, len(body)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+			}
+		}
+		msg, err := decode(body)
+		if err != nil {
+			refused++
+			return
+		}
+		for _, sr := range msg.Shards {
+			n := 0
+			for _, f := range sr.Summary {
+				n += len(f.Samples)
+			}
+			if 2*n > len(body) {
+				t.Fatalf("%d samples of %d bytes", n, len(body))
+			}
+		}
+	})
+	if refused == 0 {
+		t.Error("nothing is refused")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,9 @@
 func Run(ctx context.Context, f *config.File, log *slog.Logger) error {
 	n := &Node{f: f, log: log, start: time.Now(), inputs: make(chan func(scheduler.Now), 256),
 		users: map[uint64]chan scheduler.UserAnswer{}, workers: map[uint64]chan scheduler.WorkerAnswer{}}
-	n.core = scheduler.New(Params(f), rand.Uint64(), n.now())
+	p := Params(f)
+	p.Debug = log.Enabled(ctx, slog.LevelDebug)
+	n.core = scheduler.New(p, rand.Uint64(), n.now())
 	n.store = store.New(ctx, f, func(id uint64, r scheduler.StoreResult) {
 		n.put(func(now scheduler.Now) { n.core.StoreDone(now, id, r) })
 	})
--- a/scheduler/io.go
+++ b/scheduler/io.go
@@ -238,19 +238,19 @@
 
 // PeerMessage is what members tell each other, in msgpack.
 type PeerMessage struct {
-	From   string        `msgpack:"from"`
-	Wall   int64         `msgpack:"wall"`
-	Wants  string        `msgpack:"wants"` // the member that is asked to hand the sender's shard back
-	Shards []ShardReport `msgpack:"shards"`
+	From   string
+	Wall   int64
+	Wants  string // the member that is asked to hand the sender's shard back
+	Shards []ShardReport
 }
 
 // ShardReport is a shard as its holder sees it.
 type ShardReport struct {
-	Shard   string               `msgpack:"shard"`
-	Summary availability.Summary `msgpack:"summary"`
-	Needs   []Need               `msgpack:"needs"`
-	Running map[string]Counts    `msgpack:"running"`
-	Returns []string             `msgpack:"returns"` // machines that the lead is to return
+	Shard   string
+	Summary availability.Summary
+	Needs   []Need
+	Running map[string]Counts
+	Returns []string // machines that the lead is to return
 }
 
 // Counts is how far a job's tasks in one shard are.
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -40,6 +40,7 @@
 	LeaseS     float64
 	CancelS    float64
 	CPUShare   float64 // of one core; 0: not limited
+	Debug      bool    // debug lines are wanted
 	ValueBytes int
 	TxnOps     int
 	ListLagS   float64
@@ -211,6 +212,9 @@
 }
 
 func (m *Member) log(l Level, text string, args ...any) {
+	if l == Debug && !m.p.Debug {
+		return
+	}
 	m.out.Logs = append(m.out.Logs, LogLine{l, text, args})
 }
 
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -24,7 +24,9 @@
 					}
 				}
 				msg.Shards = append(msg.Shards, sr)
-				m.logLoad(s)
+				if m.p.Debug {
+					m.logLoad(s)
+				}
 			}
 		}
 	}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -33,6 +33,8 @@
 	fits  bool  // its job may use the machine
 	fetch int64 // how long its image takes
 	left  float64
+	rank  int // see order; in it, smaller goes first
+	at    int // place among the shard's machines
 	short bool
 	dear  bool
 }
@@ -326,29 +328,56 @@
 }
 
 // kindOf is what a kind of machine is to a job.
-type kindOf struct{ fits, short, dear bool }
+type kindOf struct {
+	kind              kindKey
+	fits, short, dear bool
+	fetch             int64 // where its image is missing
+}
 
-// look notes on the shard's machines what a group finds there.
+// look notes on the shard's machines what a group finds there. There are a few
+// kinds of machines, so a list of them is searched quicker than a map.
 func (m *Member) look(pms []*planMachine, g *group) {
-	kinds := make(map[kindKey]kindOf, 8)
+	kinds := make([]kindOf, 0, 16)
+	image := g.j.Image
 	for _, pm := range pms {
-		k, ok := kinds[pm.kind]
-		if !ok {
-			k = kindOf{m.allowed(g.j, pm.typ.Name, pm.zone, pm.spot), m.short(g.j, pm.typ), g.j.Spot && !pm.spot}
-			kinds[pm.kind] = k
+		var k *kindOf
+		for i := range kinds {
+			if kinds[i].kind == pm.kind {
+				k = &kinds[i]
+				break
+			}
+		}
+		if k == nil {
+			kinds = append(kinds, kindOf{pm.kind, m.allowed(g.j, pm.typ.Name, pm.zone, pm.spot), m.short(g.j, pm.typ), g.j.Spot && !pm.spot, m.typeFetch(g.j, pm.typ.Name)})
+			k = &kinds[len(kinds)-1]
 		}
 		pm.fits = k.fits && (len(g.w.failed) == 0 || pm.mc == nil || g.w.failed[pm.mc.id] == 0)
 		if pm.fits {
-			pm.short, pm.dear, pm.fetch = k.short, k.dear, m.planFetch(pm, g.j)
+			pm.short, pm.dear, pm.fetch = k.short, k.dear, k.fetch
+			if pm.fetch != 0 && pm.mc != nil && len(pm.mc.images) > 0 {
+				if _, here := pm.mc.images[image]; here {
+					pm.fetch = 0
+				}
+			}
 		}
 	}
 }
 
+func bit(b bool, n int) int {
+	if b {
+		return 1 << n
+	}
+	return 0
+}
+
 // order sorts the machines with room for a group: ones that others cannot do
 // without last, ones that are up before ones that boot, ones with the image
 // before others, then least leftover first, as the paper has it, measured
 // against the largest machine. Machines without room are behind them, since
 // only their queues matter, in the order in which those are free.
+//
+// It is done for every group that waits, over every machine of the shard, and
+// was the largest part of a plan: what is compared is one number and the leftover.
 func (m *Member) order(pms []*planMachine, g *group) (open, all []*planMachine) {
 	m.look(pms, g)
 	var big availability.Room
@@ -358,39 +387,53 @@
 	req := withoutDisk(g.j.Request)
 	span := float64(max(g.due-m.now.Wall, 1000))
 	all = make([]*planMachine, 0, len(pms))
-	for _, pm := range pms {
-		if !pm.fits || !pm.free.Holds(req) {
+	var closed [8]int
+	for i, pm := range pms {
+		if !pm.fits {
+			continue
+		}
+		if !pm.free.Holds(req) {
+			if pm.rank = -1; len(pm.lanes) > 0 && pm.typ.Room.Holds(req) {
+				pm.rank = bit(pm.short, 2) | bit(pm.dear, 1) | bit(pm.fetch != 0, 0)
+				closed[pm.rank]++
+			}
 			continue
 		}
 		left := (pm.free.CPUs-req.CPUs)/max(big.CPUs, 1) + (pm.free.MemoryGB-req.MemoryGB)/max(big.MemoryGB, 1)
 		pm.left = max(left, 0) + float64(g.due-pm.upAt-g.length-pm.fetch)/span/4
+		pm.rank, pm.at = openRank|bit(pm.short, 3)|bit(!pm.up, 2)|bit(pm.dear, 1)|bit(pm.fetch != 0, 0), i
 		all = append(all, pm)
 	}
 	open = all
-	first := func(x, y bool) int {
-		switch {
-		case x == y:
-			return 0
-		case x:
-			return -1
+	slices.SortFunc(open, func(a, b *planMachine) int {
+		if a.rank != b.rank {
+			return a.rank - b.rank
 		}
-		return 1
-	}
-	slices.SortStableFunc(open, func(a, b *planMachine) int {
-		return cmp.Or(first(!a.short, !b.short), first(a.up, b.up), first(!a.dear, !b.dear), first(a.fetch == 0, b.fetch == 0), cmp.Compare(a.left, b.left))
+		if a.left != b.left {
+			return cmp.Compare(a.left, b.left)
+		}
+		return a.at - b.at
 	})
+	// The others need no more than their rank: each goes behind those of lower
+	// ranks and those of its own that came before.
+	at := len(open)
+	for r, n := range closed {
+		closed[r] = at
+		at += n
+	}
+	all = all[:at]
 	for _, pm := range pms {
-		if pm.fits && !pm.free.Holds(req) && len(pm.lanes) > 0 && pm.typ.Room.Holds(req) {
-			all = append(all, pm)
+		if pm.fits && pm.rank >= 0 && pm.rank < openRank {
+			all[closed[pm.rank]] = pm
+			closed[pm.rank]++
 		}
 	}
-	open = all[:len(open)]
-	slices.SortStableFunc(all[len(open):], func(a, b *planMachine) int {
-		return cmp.Or(first(!a.short, !b.short), first(!a.dear, !b.dear), first(a.fetch == 0, b.fetch == 0))
-	})
-	return open, all
+	return all[:len(open)], all
 }
 
+// openRank marks the rank of a machine with room.
+const openRank = 1 << 4
+
 // Which machines a pass of the planner considers.
 const (
 	anyKind  = false
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -149,7 +149,7 @@
 	w.params = scheduler.Params{
 		Teams: map[string]scheduler.Team{"t0": {MaxCPUs: size.teamCPUs, CPUs: size.teamCPUs / 3}, "t1": {}}, GuaranteeS: 10,
 		Objectives: map[string][]scheduler.Objective{"quick": {{Kind: "deadline", Times: 1}, {Kind: "wait", WithinS: 3}}, "batch": {{Kind: "finished", WithinS: 120}}},
-		ReportS:    0.8, LeaseS: 6, CancelS: 20, ValueBytes: 8192, TxnOps: 16, ListLagS: 2,
+		Debug:      true, ReportS: 0.8, LeaseS: 6, CancelS: 20, ValueBytes: 8192, TxnOps: 16, ListLagS: 2,
 	}
 	w.cloud.Rented = func(r *standin.Rental) { w.rented(r) }
 	w.cloud.Released = func(r *standin.Rental) {
