A moved tail no longer counts in what is left; simulation of members that lag

The work that was left counted 12 of its 10 tasks as done, never 10, and its job never ended. The fault is older than the lag, which only makes it likelier.

The cut takes results of what left out of the count; while a move is under way, a running task that turns up is stopped, since the peer may own it.

--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -427,8 +427,8 @@
 		}
 		return nil
 	}
-	if w.done.has(i) || w.busy.has(i) {
-		return nil
+	if w.done.has(i) || w.busy.has(i) || w.moving {
+		return nil // moving: it may be the peer's already, so it is stopped here
 	}
 	j := w.job.rec.Job
 	a := &attempt{key: attemptKey{t.Task, t.Attempt}, job: j, work: w, claim: s, index: i, shard: s.name, machine: mc.id,
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -517,3 +517,36 @@
 		}
 	}
 }
+
+// A machine that was thought lost tells of a result while the tail that it
+// belongs to goes to a peer. What is left still ends.
+func TestMovedTailDoesNotCount(t *testing.T) {
+	m, s, mc := holding(t)
+	put := func(rev uint64, ranges ...Range) {
+		rec := testJob(ranges...)
+		rec.Job.Tasks = 4
+		m.apply(Item{Key: jobKey("job-000001"), Value: encode(rec), Rev: rev})
+	}
+	put(21, Range{Lo: 0, Hi: 4, Shard: "m0"})
+	w := m.jobs["job-000001"].works[0]
+	w.finish(0)
+	w.moving = true
+	m.takeTasks(s, mc, &Report{Machine: "i-1", Session: 1, Seq: 9, Tasks: []TaskReport{
+		{Task: "job-000001/3", Attempt: 1, State: "exited", Why: "done"}, {Task: "job-000001/2", Attempt: 2, State: "running"}}})
+	if w.nDone != 2 || w.nBusy != 0 || len(mc.commands) != 1 || mc.commands[0].Kind != Stop || mc.commands[0].Task != "job-000001/2" {
+		t.Fatalf("while moving: %d done, %d busy, told %+v", w.nDone, w.nBusy, mc.commands)
+	}
+	put(22, Range{Lo: 0, Hi: 2, Shard: "m0"}, Range{Lo: 2, Hi: 4, Shard: "m1", Moved: true})
+	w.moving = false
+	if w.size() != 2 || w.nDone != 1 || w.pending() != 1 {
+		t.Fatalf("%d tasks, %d done, %d wait", w.size(), w.nDone, w.pending())
+	}
+	w.finish(1)
+	m.Take()
+	m.tickShard(s)
+	if ops := m.Take().Store; !slices.ContainsFunc(ops, func(op StoreOp) bool {
+		return op.Kind == StoreTxn && slices.ContainsFunc(op.Changes, func(c Change) bool { return c.Key == jobKey("job-000001") })
+	}) {
+		t.Errorf("its end is not written: %+v", ops)
+	}
+}
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -286,6 +286,21 @@
 	})
 }
 
+// shrink cuts a work down to what its shard keeps. A machine that was thought
+// lost may have told of a result while the move was under way: left in the
+// count, it made the work done more often than it has tasks, and its job never
+// ended. The peer runs that task once more, or hears the same result.
+func (w *work) shrink(r Range) {
+	for i := r.Hi - r.Lo; i < w.size(); i++ {
+		if w.done.has(i) {
+			w.done.clear(i)
+			w.nDone--
+		}
+		w.stored.clear(i)
+	}
+	w.rng = r
+}
+
 func (w *work) finish(i int) {
 	if !w.done.has(i) {
 		w.done.set(i)
@@ -345,7 +360,7 @@
 		}
 		if r.Hi != w.rng.Hi {
 			// The tail went to a peer; none of it was started.
-			w.rng = r
+			w.shrink(r)
 		}
 	}
 	for lo, w := range j.works {
--- a/scheduler/sim_test.go
+++ b/scheduler/sim_test.go
@@ -115,6 +115,7 @@
 	order   []string
 	cuts    []cut
 	outage  map[string]int64 // member, or "all": until
+	lags    map[string]lag   // by member
 	watches []parked
 	params  scheduler.Params
 	loss    float64
@@ -145,7 +146,7 @@
 
 func newWorld(seed uint64, sab sabotage, size scale) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), state: standin.NewState(), cloud: standin.NewCloud(simTypes, size.capacity), hosts: map[string]*host{},
-		jobs: map[string]*simJob{}, outage: map[string]int64{}, broken: map[string]string{}, loss: 0.002, sab: sab, size: size}
+		jobs: map[string]*simJob{}, lags: map[string]lag{}, outage: map[string]int64{}, broken: map[string]string{}, loss: 0.002, sab: sab, size: size}
 	w.params = scheduler.Params{
 		Teams: map[string]scheduler.Team{"t0": {MaxCPUs: size.teamCPUs, CPUs: size.teamCPUs / 3}, "t1": {}}, GuaranteeS: 10,
 		Objectives: map[string][]scheduler.Objective{"quick": {{Kind: "deadline", Times: 1}, {Kind: "wait", WithinS: 3}}, "batch": {{Kind: "finished", WithinS: 120}}},
@@ -198,7 +199,18 @@
 	if w.rng.Float64() < w.loss {
 		return
 	}
-	w.after(delay, f)
+	w.after(delay+w.behind(from)+w.behind(to), f)
+}
+
+// lag is how far a member that lacks processor time falls behind: what reaches
+// it waits, what it decided leaves late, and its ticks come seldom.
+type lag struct{ until, ms int64 }
+
+func (w *world) behind(name string) int64 {
+	if l := w.lags[name]; l.until > w.now {
+		return w.rng.Int64N(l.ms)
+	}
+	return 0
 }
 
 func (w *world) away(m string) bool { return w.outage["all"] > w.now || w.outage[m] > w.now }
@@ -240,7 +252,7 @@
 	}
 	m.core.Tick(m.clock())
 	m.drain()
-	m.w.after(50, func() { m.tick(epoch) })
+	m.w.after(50+m.w.behind(m.name), func() { m.tick(epoch) })
 }
 
 // live runs f if the member is still the process that asked.
@@ -665,7 +677,7 @@
 		}
 		return w.hosts[w.ids[w.rng.IntN(len(w.ids))]]
 	}
-	kind := w.rng.IntN(11)
+	kind := w.rng.IntN(12)
 	w.tell("fault %d for %d ms, %s", kind, long, m.name)
 	switch kind {
 	case 0:
@@ -711,6 +723,8 @@
 		}
 	case 10:
 		w.cuts = append(w.cuts, cut{m.name, "m", w.now + long})
+	case 11:
+		w.lags[m.name] = lag{w.now + long, 100 + w.rng.Int64N(4000)}
 	}
 }
 
