Memory bound, loop delay, planner pace and refusals as metrics; shares too small are refused

Cause: nothing told an operator of a small machine that it runs short, and settings with a share of zero passed.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -151,6 +151,20 @@
 	}
 }
 
+// A member that does nothing takes a few thousandths of a core and some 20 MB,
+// most of it the program itself. With less than this it would be killed, or be
+// behind, before it did anything.
+const (
+	minCPUShare = 0.01
+	minRAMMB    = 32
+)
+
+func (c *checker) atLeast(field string, v, least float64) {
+	if !(v >= least) || math.IsInf(v, 0) {
+		c.fail("%s must be a number from %g on: with less a member cannot run", field, least)
+	}
+}
+
 func (c *checker) notNegative(field string, v float64) {
 	if !(v >= 0) || math.IsInf(v, 0) {
 		c.fail("%s must not be negative", field)
@@ -221,7 +235,8 @@
 	}
 	c.positive("cluster.cloud.rps", cl.Cloud.RPS)
 	c.notNegative("cluster.cloud.list_lag_s", cl.Cloud.ListLagS)
-	c.positive("cluster.machine_limits.ram_mb", cl.Limits.RAMMB)
+	c.atLeast("cluster.machine_limits.cpu_share", cl.Limits.CPUShare, minCPUShare)
+	c.atLeast("cluster.machine_limits.ram_mb", cl.Limits.RAMMB, minRAMMB)
 	if cl.Limits.MaxSockets < 1 {
 		c.fail("cluster.machine_limits.max_sockets must be at least 1")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -62,6 +62,11 @@
 		{`rps = 100.0`, `rps = inf`, "cluster.state.rps"},
 		{`txn_ops = 16`, `txn_ops = 1`, "txn_ops"},
 		{`ram_mb = 70.0`, `ram_mb = nan`, "ram_mb"},
+		{`ram_mb = 70.0`, `ram_mb = 0.0`, "ram_mb"},
+		{`ram_mb = 70.0`, `ram_mb = 20.0`, "ram_mb"},
+		{`cpu_share = 0.1`, `cpu_share = 0.0`, "cpu_share"},
+		{`cpu_share = 0.1`, `cpu_share = -1.0`, "cpu_share"},
+		{`cpu_share = 0.1`, `cpu_share = 0.001`, "cpu_share"},
 		{`max_sockets = 600`, `max_sockets = 0`, "max_sockets"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
--- a/internal/mesh/admin.go
+++ b/internal/mesh/admin.go
@@ -16,6 +16,7 @@
 type Admin interface {
 	Status() scheduler.Status
 	Settings() scheduler.Settings
+	Collectors() []prometheus.Collector
 	ChangeSettings(scheduler.Settings) (scheduler.UserAnswer, bool)
 }
 
@@ -43,6 +44,7 @@
 	})
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(&collector{core})
+	registry.MustRegister(core.Collectors()...)
 	app.Get("/metrics", func(c *fiber.Ctx) error {
 		families, err := registry.Gather()
 		if err != nil {
@@ -72,12 +74,13 @@
 	descLeading   = desc("leading", "1 while the member leads the fleet.")
 	descJobs      = desc("jobs", "Live jobs.")
 	descQueued    = desc("queued_tasks", "Tasks that wait for a machine.", "shard")
+	descPlan      = desc("plan_gap_seconds", "Time between two plans that the last one's cost asks for.", "shard")
 	descMachines  = desc("machines", "Machines of the fleet.", "shard", "type")
 	descEvents    = desc("events_total", "Events since the member started.", "event")
 )
 
 func (c *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descAuthority, descLeading, descJobs, descQueued, descMachines, descEvents} {
+	for _, d := range []*prometheus.Desc{descAuthority, descLeading, descJobs, descQueued, descPlan, descMachines, descEvents} {
 		ch <- d
 	}
 }
@@ -100,6 +103,7 @@
 	for _, s := range st.Shards {
 		if s.Mine {
 			gauge(descQueued, float64(s.Queued), s.Shard)
+			gauge(descPlan, s.PlanGapS, s.Shard)
 		}
 	}
 	type group struct{ shard, typ string }
@@ -117,7 +121,7 @@
 	}{
 		{"start", k.Starts}, {"lost_task", k.Lost}, {"task_error", k.Errors}, {"claim", k.Claims}, {"rented", k.Rented},
 		{"returned", k.Returned}, {"moved", k.Moved}, {"replan", k.Replans}, {"accepted", k.Accepted}, {"finished", k.Finished},
-		{"preempted", k.Preempted},
+		{"preempted", k.Preempted}, {"refused", k.Refused},
 	} {
 		ch <- prometheus.MustNewConstMetric(descEvents, prometheus.CounterValue, float64(e.n), e.name)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/grebedock/grebedock/internal/cloud"
 	"github.com/grebedock/grebedock/internal/config"
 	"github.com/grebedock/grebedock/internal/front"
@@ -34,6 +36,7 @@
 	core   *scheduler.Member
 	inputs chan func(scheduler.Now)
 	up     atomic.Bool
+	health *health
 
 	store       *store.Store
 	cloud       *cloud.Cloud
@@ -72,7 +75,7 @@
 
 // Run runs a controller until ctx ends or a listener fails.
 func Run(ctx context.Context, f *config.File, log *slog.Logger) error {
-	n := &Node{f: f, log: log, start: time.Now(), inputs: make(chan func(scheduler.Now), 256),
+	n := &Node{f: f, log: log, start: time.Now(), health: newHealth(f.Cluster.Limits.RAMMB), inputs: make(chan func(scheduler.Now), 256),
 		users: map[uint64]chan scheduler.UserAnswer{}, workers: map[uint64]chan scheduler.WorkerAnswer{}}
 	p := Params(f)
 	p.Debug = log.Enabled(ctx, slog.LevelDebug)
@@ -135,7 +138,8 @@
 					more = false
 				}
 			}
-		case <-t.C:
+		case due := <-t.C:
+			n.health.ticked(due, time.Now())
 			n.core.Tick(n.now())
 		}
 		n.emit(n.core.Take())
@@ -212,6 +216,9 @@
 
 // User asks the core on a user's behalf.
 func (n *Node) User(r scheduler.UserRequest, patience time.Duration) (scheduler.UserAnswer, bool) {
+	if a, ok := n.health.refuses(r); ok {
+		return a, true
+	}
 	return await(n, patience, func() map[uint64]chan scheduler.UserAnswer { return n.users },
 		func(now scheduler.Now, id uint64) { n.core.User(now, id, r) })
 }
@@ -237,6 +244,9 @@
 // Status reads how the member stands.
 func (n *Node) Status() scheduler.Status { return see(n, n.core.Status) }
 
+// Collectors gives the metrics of the process itself.
+func (n *Node) Collectors() []prometheus.Collector { return n.health.collectors() }
+
 // Settings reads the operators' settings.
 func (n *Node) Settings() scheduler.Settings {
 	return see(n, func(scheduler.Now) scheduler.Settings { return n.core.Settings() })
--- a/scheduler/admin.go
+++ b/scheduler/admin.go
@@ -27,6 +27,8 @@
 	Token  uint64 `json:"token,omitempty"`
 	Queued int    `json:"queued"`
 	Needs  int    `json:"needs"`
+	// PlanGapS is how long the cost of the last plan asks to wait for the next.
+	PlanGapS float64 `json:"plan_gap_s"`
 }
 
 // MachineStatus is a machine in a Status.
@@ -49,7 +51,7 @@
 	for _, n := range m.members() {
 		ss := ShardStatus{Shard: n, Holder: m.shards[n].Holder}
 		if s := m.mine[n]; s != nil {
-			ss.Mine, ss.Ready, ss.Token, ss.Needs = true, s.ready, s.token, len(s.needs)
+			ss.Mine, ss.Ready, ss.Token, ss.Needs, ss.PlanGapS = true, s.ready, s.token, len(s.needs), m.planGap(s)/1000
 			for _, g := range m.groups(s) {
 				ss.Queued += g.left
 			}
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -166,6 +166,7 @@
 	Accepted  uint64 `json:"accepted"`
 	Finished  uint64 `json:"finished"`
 	Preempted uint64 `json:"preempted"`
+	Refused   uint64 `json:"refused"`
 }
 
 type waiter struct {
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -492,10 +492,7 @@
 // otherwise as often as the last plan's cost allows. Machines that report room
 // in between take the next task of the queue by themselves.
 func (m *Member) planDue(s *shard) bool {
-	gap := float64(s.steps) * stepCost / planShare
-	if m.p.CPUShare > 0 {
-		gap /= m.p.CPUShare
-	}
+	gap := m.planGap(s)
 	passed := float64(m.now.Steady - s.planned)
 	switch {
 	case s.hasten:
@@ -506,6 +503,16 @@
 	return passed >= max(1000, 2*gap)
 }
 
+// planGap is how long the last plan's cost asks to wait for the next one, in
+// milliseconds.
+func (m *Member) planGap(s *shard) float64 {
+	gap := float64(s.steps) * stepCost / planShare
+	if m.p.CPUShare > 0 {
+		gap /= m.p.CPUShare
+	}
+	return gap
+}
+
 // page is a value of the store with the progress of several ranges of a shard:
 // one for each would cost a change each, every few seconds.
 type page struct {
--- a/scheduler/users.go
+++ b/scheduler/users.go
@@ -26,6 +26,9 @@
 		m.out.Users = map[uint64]UserAnswer{}
 	}
 	m.out.Users[id] = a
+	if a.Status == 503 {
+		m.Counters.Refused++
+	}
 }
 
 func unavailable(id, why string) UserAnswer {
