--- a/cmd/grebedock/main.go
+++ b/cmd/grebedock/main.go
@@ -67,9 +67,9 @@
 	return cmd
 }
 
-// memoryShare is how much of a machine's memory the heap may grow to before the
-// collector works harder; the rest is for stacks and what the system counts.
-const memoryShare = 0.75
+// memoryShare is how much of the memory that it may hold the runtime uses before
+// the collector works harder.
+const memoryShare = 0.9
 
 func run(ctx context.Context, path string) error {
 	level, err := logLevel(os.Getenv("LOG_LEVEL"))
@@ -82,7 +82,7 @@
 	}
 	// Short of that limit the collector may let garbage lie for longer: a
 	// member lives on a part of one core, and its live heap is a few megabytes.
-	debug.SetMemoryLimit(int64(f.Cluster.Limits.RAMMB * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(int64(f.Cluster.Limits.Heap() * memoryShare))
 	debug.SetGCPercent(400)
 	if f.Cluster.Limits.CPUShare <= 1 {
 		// Part of one core: more threads would only take turns.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,15 @@
 	MaxSockets int     `toml:"max_sockets"`
 }
 
+// outsideMB is what a process holds that the Go runtime does not count: 12 MB of
+// the program itself when it was measured, the rest for libraries' pages and
+// what the system keeps for it. It is the same on every machine, so it is no
+// share: three quarters of 54 MB for the heap would have left it too little.
+const outsideMB = 16
+
+// Heap is how many bytes the Go runtime may hold.
+func (l Limits) Heap() float64 { return (l.RAMMB - outsideMB) * (1 << 20) }
+
 // Load reads and checks the file at path. The error names every field that is
 // wrong, in one line.
 func Load(path string) (*File, error) {
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -21,18 +21,19 @@
 	shed   prometheus.Counter
 }
 
-// shedShare is how much of its memory a member may hold before it takes no new
-// work: a member over its limit is killed, and everybody waits for its shard.
-// The collector works towards a lower share, so this is what it cannot free.
-const shedShare = 0.9
+// shedShare is how much of the memory that it may hold the runtime has when a
+// member takes no new work: one over its limit is killed, and everybody waits
+// for its shard. The collector works towards a lower share, so this is what it
+// cannot free.
+const shedShare = 0.97
 
 // shedRetryS is when a refused user should come back: the collector needs a
 // moment, and jobs must end.
 const shedRetryS = 5
 
-func newHealth(ramMB float64) *health {
+func newHealth(heap float64) *health {
 	return &health{
-		limit:  uint64(ramMB * shedShare * (1 << 20)),
+		limit:  uint64(heap * shedShare),
 		sample: []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}},
 		late: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "grebedock_loop_delay_seconds",
 			Help:    "How late the loop takes up a tick: how far a member is behind.",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 
 // Run runs a controller until ctx ends or a listener fails.
 func Run(ctx context.Context, f *config.File, log *slog.Logger) error {
-	n := &Node{f: f, log: log, start: time.Now(), health: newHealth(f.Cluster.Limits.RAMMB), inputs: make(chan func(scheduler.Now), 256),
+	n := &Node{f: f, log: log, start: time.Now(), health: newHealth(f.Cluster.Limits.Heap()), inputs: make(chan func(scheduler.Now), 256),
 		users: map[uint64]chan scheduler.UserAnswer{}, workers: map[uint64]chan scheduler.WorkerAnswer{}}
 	p := Params(f)
 	p.Debug = log.Enabled(ctx, slog.LevelDebug)
