--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -711,6 +711,9 @@
 			if i < 0 || !free.Holds(j.Request) || !m.mayStart(s, w, mc) {
 				break
 			}
+			if j.Kind == Gang && (w.gangTry == 0 || w.gangSent.has(i)) {
+				break // this try of it failed; a task has a number once
+			}
 			free = free.Sub(j.Request)
 			m.start(s, mc, w, i, p.length, p.fetch, r)
 		}
@@ -722,7 +725,13 @@
 func (m *Member) start(s *shard, mc *machine, w *work, i int, length, fetch int64, r *Report) {
 	j := &w.job.rec.Job
 	length = max(length-w.saved[i], length/8)
-	a := &attempt{key: attemptKey{taskName(j.ID, w.rng.Lo+i), s.nextAttempt()}, job: *j, work: w, claim: s, index: i, shard: s.name,
+	number := w.gangTry
+	if j.Kind == Gang {
+		w.gangSent.set(i)
+	} else {
+		number = s.nextAttempt()
+	}
+	a := &attempt{key: attemptKey{taskName(j.ID, w.rng.Lo+i), number}, job: *j, work: w, claim: s, index: i, shard: s.name,
 		machine: mc.id, session: r.Session, afterSeq: r.Seq, placedAt: m.now.Wall, length: length, fetch: fetch}
 	m.begin(mc, a)
 	m.repay(s, j)
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -262,6 +262,36 @@
 		if n != c.want {
 			t.Errorf("%d of a gang of %d start on 8 CPUs", n, c.tasks)
 		}
+		if n == 0 {
+			continue
+		}
+		// Workers match mates by their attempt: one number for all of a try,
+		// another for the next, and no task twice in one.
+		numbers := map[uint64]int{}
+		for try := range 2 {
+			mc.commands = nil
+			m.starts(s, mc, &Report{Session: 1, Seq: uint64(4 + try)})
+			for _, cmd := range mc.commands {
+				numbers[cmd.Attempt]++
+			}
+			for _, a := range mc.attempts {
+				m.over(mc, a)
+				break
+			}
+			mc.plan = []planned{{w: m.jobs["job-000001"].works[0], n: 1}}
+			mc.commands = nil
+			if m.starts(s, mc, &Report{Session: 1, Seq: 9}); len(mc.commands) > 0 {
+				t.Errorf("a task of a try that failed is told %+v", mc.commands)
+			}
+			for _, a := range mc.attempts {
+				m.over(mc, a)
+			}
+			mc.full = 0
+			m.plan(s)
+		}
+		if len(numbers) != 2 || slices.Max(slices.Collect(maps.Values(numbers))) != 8 {
+			t.Errorf("attempts of a gang in two tries: %v", numbers)
+		}
 	}
 }
 
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -606,7 +606,7 @@
 		pass(deadline, queued)
 	}
 	if g.j.Kind == Gang {
-		if fits, missing := m.gangFits(g, open); !fits {
+		if fits, missing := m.gangFits(s, g, open); !fits {
 			if missing > 0 {
 				s.needs = append(s.needs, Need{Job: g.j.ID, Count: missing, Deadline: g.due, Length: g.length})
 			}
@@ -671,7 +671,7 @@
 // waits for its mates holds its machine for nothing. What is left of an earlier
 // try must be gone first. missing is how many have no room even on the machines
 // that boot.
-func (m *Member) gangFits(g *group, pms []*planMachine) (fits bool, missing int) {
+func (m *Member) gangFits(s *shard, g *group, pms []*planMachine) (fits bool, missing int) {
 	if g.w.nBusy > 0 {
 		// Its machines are told one after the other, as they report.
 		return m.now.Steady-g.w.gangAt < 3*m.reportGap(), 0
@@ -689,7 +689,7 @@
 		}
 	}
 	if now >= g.left {
-		g.w.gangAt = m.now.Steady
+		g.w.gangAt, g.w.gangTry, g.w.gangSent = m.now.Steady, s.nextAttempt(), newBits(g.w.size())
 	}
 	return now >= g.left, g.left - now - later
 }
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -101,6 +101,8 @@
 	running  int            // attempts that run
 	zones    map[string]int // zone: live attempts
 	gangAt   int64          // when the last try to start all of a gang began
+	gangTry  uint64         // its attempt, the same for all tasks
+	gangSent bits           // the tasks that were started in it
 }
 
 func (w *work) size() int    { return w.rng.Hi - w.rng.Lo }
