Machines are asked for at a spot notice, not when the tasks are lost

Now a plan tells what they will need beyond the room of other machines, up or booting, as spot machines only.

--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -580,3 +581,33 @@
 		t.Errorf("its end is not written: %+v", ops)
 	}
 }
+
+// A notice asks for what the tasks will need that the machine does not end,
+// beyond the room that other machines have.
+func TestNoticeAsksForMachinesAhead(t *testing.T) {
+	m, s, mc := holding(t)
+	for i, length := range []float64{5, 60} {
+		rec := testJob(Range{Lo: 0, Hi: 2, Shard: "m0"})
+		rec.Job.ID, rec.Job.EstimateS, rec.Job.Spot = fmt.Sprintf("job-%06d", i+1), length, true
+		rec.Job.Request.CPUs = 2
+		m.apply(Item{Key: jobKey(rec.Job.ID), Value: encode(rec), Rev: uint64(21 + i)})
+	}
+	m.plan(s)
+	m.starts(s, mc, &Report{Session: 1, Seq: 3})
+	if mc.live != 4 {
+		t.Fatalf("%d tasks run", mc.live)
+	}
+	m.plan(s)
+	if len(s.foreseen) != 0 {
+		t.Fatalf("without a notice: %+v", s.foreseen)
+	}
+	mc.goneAt = m.now.Steady + 20_000
+	m.plan(s)
+	if len(s.foreseen) != 1 || s.foreseen[0].Count != 2 || s.foreseen[0].Length != 60_000 || !s.foreseen[0].SpotOnly {
+		t.Fatalf("with a notice of 20 s: %+v", s.foreseen)
+	}
+	m.apply(Item{Key: machinePrefix + "1-2", Value: encode(rosterRecord{Shard: "m0", Type: "small", Zone: "a", Spot: true, Machines: []string{"i-2"}, Rented: m.now.Wall}), Rev: 30})
+	if m.plan(s); len(s.foreseen) != 0 {
+		t.Errorf("with a machine that boots: %+v", s.foreseen)
+	}
+}
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -17,7 +17,7 @@
 				m.shareTeams(s)
 				m.moveLeftovers(s)
 				sr := ShardReport{Shard: s.name, Summary: m.summary(s), Running: m.counts(s)}
-				sr.Needs = append(sr.Needs, s.needs...)
+				sr.Needs = append(append(sr.Needs, s.needs...), s.foreseen...)
 				for _, mc := range s.machines {
 					if mc.returning {
 						sr.Returns = append(sr.Returns, mc.id)
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -506,6 +506,59 @@
 			}
 		}
 	}
+	m.foresee(s)
+}
+
+// foresee notes what tasks will need that run on machines with a notice and will
+// not end before it: a new machine takes longer to boot than a notice lasts, and
+// without it is asked for only when they are lost.
+func (m *Member) foresee(s *shard) {
+	s.foreseen = s.foreseen[:0]
+	doomed := map[*work]int{}
+	for _, mc := range s.machines {
+		if mc.goneAt == 0 || mc.live == 0 || mc.lost {
+			continue
+		}
+		until := m.now.Wall + mc.goneAt - m.now.Steady
+		for _, a := range mc.attempts {
+			if !a.exited && a.ends(m.now.Wall) > until && m.jobs[a.job.ID] == a.work.job {
+				doomed[a.work]++
+			}
+		}
+	}
+	if len(doomed) == 0 {
+		return
+	}
+	free := make([]availability.Room, len(s.pms))
+	for i, pm := range s.pms {
+		free[i] = pm.free
+	}
+	for _, w := range s.works {
+		left := doomed[w]
+		if left == 0 {
+			continue
+		}
+		j := &w.job.rec.Job
+		req := withoutDisk(j.Request)
+		for i, pm := range s.pms {
+			if left == 0 {
+				break
+			}
+			if !m.allowed(j, pm.typ.Name, pm.zone, pm.spot) || m.short(j, pm.typ) {
+				continue
+			}
+			n := free[i].Copies(req, left)
+			left -= n
+			for range n {
+				free[i] = free[i].Sub(req)
+			}
+		}
+		if left > 0 {
+			length := m.length(j)
+			_, due, _ := m.aims(j, w.job.rec.Accepted, length)
+			s.foreseen = append(s.foreseen, Need{Job: j.ID, Count: left, Deadline: due, Length: length, SpotOnly: j.Spot})
+		}
+	}
 }
 
 // reserveShare is how much room is kept free for jobs with a start aim by jobs
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -54,6 +54,7 @@
 	reserve, spare, average, jobSize float64
 	reserveAt                        int64
 	needs                            []Need
+	foreseen                         []Need // of tasks that their machines will not end
 }
 
 func newShard(name string, nonce, rev uint64) *shard {
