Images that a machine's cache has dropped are forgotten

Besides wrong guesses of fetches, what a member kept of a machine had no bound.

Kept for the bound.

--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -79,7 +79,7 @@
 	live         int               // attempts that are not over
 	use          availability.Room // of them
 	pm           planMachine
-	images       map[string]int64 // seen in use; wall time of the last use
+	images       map[string]image // those that its cache should hold
 	idleAt       int64            // steady time since when nothing runs
 	plan         []planned
 	commands     []Command
@@ -90,6 +90,38 @@
 	strays       int    // tasks on it that are not ours to keep and not gone yet
 }
 
+// image is what we know of an image on a machine.
+type image struct {
+	usedAt int64 // time of day
+	gb     float64
+}
+
+// keep notes the use of an image, and forgets those that the machine's cache has
+// dropped for it, which are the ones used longest ago. A machine that was up for
+// a while was taken to have every image it ever used, and starts there that were
+// to be at once waited for a fetch.
+func (mc *machine) keep(name string, im image, cache float64) {
+	_, known := mc.images[name]
+	mc.images[name] = im
+	if known || cache <= 0 {
+		return
+	}
+	total := 0.0
+	for _, o := range mc.images {
+		total += o.gb
+	}
+	for total > cache && len(mc.images) > 1 {
+		oldest := ""
+		for n, o := range mc.images {
+			if p := mc.images[oldest]; n != name && (oldest == "" || o.usedAt < p.usedAt || o.usedAt == p.usedAt && n < oldest) {
+				oldest = n
+			}
+		}
+		total -= mc.images[oldest].gb
+		delete(mc.images, oldest)
+	}
+}
+
 // planned is a start that the plan wants on a machine now.
 type planned struct {
 	w      *work
@@ -129,7 +161,7 @@
 		m.end(mc, a)
 	}
 	*mc = machine{id: mc.id, rec: mc.rec, roster: mc.roster, up: mc.up, last: m.now.Steady, idleAt: m.now.Steady,
-		attempts: map[attemptKey]*attempt{}, images: map[string]int64{}, faults: map[string]bool{}, pm: mc.pm}
+		attempts: map[attemptKey]*attempt{}, images: map[string]image{}, faults: map[string]bool{}, pm: mc.pm}
 	if s := m.mine[mc.rec.Shard]; s != nil {
 		mc.token = s.base
 	}
@@ -458,7 +490,7 @@
 	w := a.work
 	current := m.jobs[a.job.ID] != nil && m.jobs[a.job.ID].works[w.rng.Lo] == w
 	if a.job.Image != "" && t.State != "fetching" {
-		mc.images[a.job.Image] = m.now.Wall
+		mc.keep(a.job.Image, image{m.now.Wall, a.job.Request.DiskGB}, roomOf(m.types[mc.rec.Type]).DiskGB)
 	}
 	switch t.State {
 	case "running", "waiting":
--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -457,7 +457,7 @@
 	}{{40_000, "job-000002/0"}, {13_000, "job-000001/0"}} {
 		m, s, mc := holding(t)
 		m.setTypes([]MachineType{{Name: "small", Room: availability.Room{CPUs: 8, MemoryGB: 32}, FetchGBps: 1, BootS: 10, Zones: []string{"a"}}})
-		mc.images["here"] = 1
+		mc.images["here"] = image{1, 2}
 		s.spare = 8
 		for i, image := range []string{"away", "here"} {
 			rec := testJob(Range{Lo: 0, Hi: 1, Shard: "m0"})
@@ -611,3 +611,20 @@
 		t.Errorf("with a machine that boots: %+v", s.foreseen)
 	}
 }
+
+// A machine keeps the images that it used last, as far as its cache holds them.
+func TestImagesLeaveTheCache(t *testing.T) {
+	_, _, mc := holding(t)
+	for i, name := range []string{"a", "b", "c"} {
+		mc.keep(name, image{int64(10 + i), 4}, 12)
+	}
+	mc.keep("a", image{20, 4}, 12)
+	mc.keep("d", image{21, 7}, 12)
+	if got := slices.Sorted(maps.Keys(mc.images)); !slices.Equal(got, []string{"a", "d"}) {
+		t.Errorf("kept: %v", got)
+	}
+	mc.keep("large", image{22, 40}, 12)
+	if got := slices.Sorted(maps.Keys(mc.images)); !slices.Equal(got, []string{"large"}) {
+		t.Errorf("kept with one that fills it: %v", got)
+	}
+}
