--- a/scheduler/scale_test.go
+++ b/scheduler/scale_test.go
@@ -145,3 +145,54 @@
 		})
 	}
 }
+
+// BenchmarkSubmit is a submission that the state service takes at once, with the
+// choice of where its tasks go.
+func BenchmarkSubmit(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("%dx%d", c.machines, c.jobs), func(b *testing.B) {
+			m, s := fleetOf(b, c.machines, c.jobs)
+			m.plan(s)
+			m.p.Teams = map[string]Team{"": {}}
+			rev := uint64(1 << 20)
+			n := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				n++
+				rev++
+				j := m.jobs["job-000000"].rec.Job
+				j.ID = fmt.Sprintf("job-9%08d", n)
+				m.User(m.now, uint64(n), UserRequest{Kind: Submit, ID: j.ID, Job: &j})
+				for _, op := range m.Take().Store {
+					m.StoreDone(m.now, op.ID, StoreResult{Rev: rev})
+				}
+				if a := m.Take().Users[uint64(n)]; a.Status != 201 {
+					b.Fatalf("answered %+v", a)
+				}
+				m.apply(Item{Key: jobKey(j.ID), Rev: rev + 1})
+				rev++
+			}
+		})
+	}
+}
+
+// BenchmarkRecovery is what a claim does with a page of five hundred live jobs.
+func BenchmarkRecovery(b *testing.B) {
+	m, _ := fleetOf(b, 0, 500)
+	var items []Item
+	for id, j := range inOrder(m.jobs) {
+		items = append(items, Item{Key: jobKey(id), Value: encode(j.rec), Rev: j.rev})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		n := New(m.p, 1, Now{1, 1})
+		for _, it := range items {
+			n.apply(it)
+		}
+		n.mine["m0"] = newShard("m0", 7, 5)
+		n.beginShard(n.mine["m0"])
+		if len(n.mine["m0"].works) != len(items) {
+			b.Fatal("jobs are missing")
+		}
+	}
+}
