The few machines that stay silent after a claim are given up at half a lease

Where at most a third of the machines that are up are silent, they are returned after half a lease; the cloud's answer settles them. Where most are, it is the member's network, and they are waited for as before.

--- a/scheduler/member_test.go
+++ b/scheduler/member_test.go
@@ -628,3 +628,32 @@
 		t.Errorf("kept with one that fills it: %v", got)
 	}
 }
+
+// After a claim, a few machines that stay silent are given up after half a lease;
+// where most are, it is the network, and they are waited for.
+func TestFewSilentMachinesAreGivenUp(t *testing.T) {
+	for _, silent := range []int{1, 3} {
+		m, s, _ := holding(t)
+		ids := []string{"i-2", "i-3", "i-4"}
+		m.apply(Item{Key: machinePrefix + "1-2", Value: encode(rosterRecord{Shard: "m0", Type: "small", Zone: "a", Machines: ids}), Rev: 30})
+		m.apply(Item{Key: upPrefix + "m0/1", Value: encode(upRecord{ids}), Rev: 31})
+		for _, id := range ids[silent:] {
+			m.Report(m.now, 7, Report{Machine: id, Addr: "x", Type: "small", Zone: "a", Session: 1, Seq: 3, Token: 11})
+		}
+		for _, half := range []bool{false, true} {
+			if half {
+				m.now.Steady += ms(m.p.LeaseS)/2 + 1
+			}
+			m.giveUpSilent(s)
+			given := 0
+			for _, mc := range s.machines {
+				if mc.returning {
+					given++
+				}
+			}
+			if want := map[bool]int{true: 1}[half && silent == 1]; given != want {
+				t.Errorf("%d of 4 silent, half a lease passed %v: %d given up", silent, half, given)
+			}
+		}
+	}
+}
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -475,6 +475,7 @@
 	}
 	m.writeProgress(s)
 	m.writeUps(s)
+	m.giveUpSilent(s)
 	for _, mc := range s.machines {
 		m.tickMachine(s, mc)
 	}
@@ -484,6 +485,30 @@
 	}
 }
 
+// giveUpSilent returns the few machines that have not spoken since a claim once
+// half a lease has passed: nothing that an earlier claim left may start before
+// they are settled, and what ended while nobody listened never speaks. Where
+// most are silent it is the network, and they are waited for.
+func (m *Member) giveUpSilent(s *shard) {
+	up, silent := 0, 0
+	for _, mc := range s.machines {
+		if mc.up {
+			up++
+			if !mc.settled() {
+				silent++
+			}
+		}
+	}
+	if silent == 0 || silent > up/3 {
+		return
+	}
+	for _, mc := range s.machines {
+		if !mc.settled() && m.now.Steady-mc.last > ms(m.p.LeaseS)/2 {
+			m.drain(s, mc, "silent since the claim")
+		}
+	}
+}
+
 // stepCost is what a step of the planner is taken to cost, in milliseconds of a
 // whole processor. It only paces the planner, so a rough figure does.
 const stepCost = 20e-6
