--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -31,6 +31,20 @@
 // 2 s to well over a lease later.
 func (w *World) LateReports(of float64, ms int64) { w.lateReports = share{of, w.Now + ms} }
 
+// LostAnswers has that share of transactions be carried out at once, and only their
+// answer lost.
+func (w *World) LostAnswers(of float64, ms int64) { w.lostAnswers = share{of, w.Now + ms} }
+
+// LateCommands has that share of direct commands be held up for 2 to 16 s and carried
+// out once, unanswered, if token and session still match.
+func (w *World) LateCommands(of float64, ms int64) { w.lateOrders = share{of, w.Now + ms} }
+
+// connectMS is how long a connection attempt takes that fails.
+const connectMS = 500
+
+// Mute has a machine reach no member, while direct commands reach it.
+func (w *World) Mute(h *Host, ms int64) { h.muteTill = max(h.muteTill, w.Now+ms) }
+
 // Deafen has a machine hear nothing while its reports arrive: answers and direct
 // commands to it are lost.
 func (w *World) Deafen(h *Host, ms int64) { h.deafTill = max(h.deafTill, w.Now+ms) }
@@ -73,7 +87,7 @@
 
 // troubled tells whether something is wrong that keeps members from answering users.
 func (w *World) troubled() bool {
-	for _, until := range []int64{w.lateWrites.until, w.lateReports.until, w.slowTill} {
+	for _, until := range []int64{w.lateWrites.until, w.lateReports.until, w.lostAnswers.until, w.slowTill} {
 		if until > w.Now {
 			return true
 		}
@@ -236,6 +250,81 @@
 	})
 }
 
+// runLate carries out commands that were held up on their way; nobody is answered.
+func (w *World) runLate(h *Host, d scheduler.Do) {
+	var run func()
+	run = func() {
+		switch {
+		case !h.Up || h.Gone:
+		case h.HungTill > w.Now:
+			w.After(h.HungTill-w.Now+1, run)
+		default:
+			w.Copies["late commands"]++
+			h.Worker.Do(h.Clock(w), d)
+		}
+	}
+	w.After(2000+w.Rand.Int64N(14_000), run)
+}
+
+// keptReport is a copy of a worker's report.
+type keptReport struct {
+	h *Host
+	r scheduler.Report
+}
+
+// keptReportsMost bounds the copies that wait for a claim: later ones replace the oldest.
+const keptReportsMost = 60
+
+// ReportsForNextClaim has a copy of that share of the workers' reports kept until a member
+// claims a shard, or the lead, and then arrive at every member.
+func (w *World) ReportsForNextClaim(of float64, ms int64) { w.nextReports = share{of, w.Now + ms} }
+
+// keepReport keeps a copy of a report for the next claim.
+func (w *World) keepReport(h *Host, r scheduler.Report) {
+	if !w.nextReports.draws(w) {
+		return
+	}
+	if len(w.keptReports) == keptReportsMost {
+		w.keptReports = slices.Delete(w.keptReports, 0, 1)
+	}
+	w.keptReports = append(w.keptReports, keptReport{h, r})
+}
+
+// noteClaim sees a claim that the state service has carried out, and lets the kept
+// copies of reports arrive.
+func (w *World) noteClaim(op scheduler.StoreOp, r scheduler.StoreResult) {
+	if len(w.keptReports) == 0 || op.Kind != scheduler.StoreTxn || r.Outcome != scheduler.OK {
+		return
+	}
+	claims := slices.ContainsFunc(op.Changes, func(c scheduler.Change) bool {
+		return c.Value != nil && (KindOf(c.Key) == "l/s/" || c.Key == "l/lead")
+	})
+	if !claims {
+		return
+	}
+	kept := w.keptReports
+	w.keptReports = nil
+	for _, k := range kept {
+		for _, m := range w.Members {
+			w.After(w.Rand.Int64N(400), func() { w.copyArrives(m, k) })
+		}
+	}
+}
+
+// copyArrives brings a copy of a report to a member; nobody waits for the answer.
+func (w *World) copyArrives(m *Member, k keptReport) {
+	if m.Core == nil || w.Refused != nil && w.Refused(m.Name) {
+		return
+	}
+	w.Copies["at a claim"]++
+	if k.r.Session < k.h.Worker.Session {
+		w.Copies["of an earlier session at a claim"]++
+	}
+	m.replies++
+	m.Core.Report(m.Clock(), m.replies, k.r)
+	m.drain()
+}
+
 // SomeUp does something to a share of the machines that are up.
 func (w *World) SomeUp(of float64, f func(*Host)) {
 	for _, id := range w.IDs {
@@ -267,6 +356,14 @@
 var Troubles = []Trouble{
 	{"late writes", func(w *World) { w.LateWrites(0.1+0.5*w.Rand.Float64(), w.between(3000, 28_000)) }},
 	{"late reports", func(w *World) { w.LateReports(0.2+0.6*w.Rand.Float64(), w.between(3000, 28_000)) }},
+	{"lost answers", func(w *World) { w.LostAnswers(0.1+0.5*w.Rand.Float64(), w.between(3000, 28_000)) }},
+	{"reports kept for the next claim", func(w *World) { w.ReportsForNextClaim(0.2+0.6*w.Rand.Float64(), w.between(3000, 28_000)) }},
+	{"commands late", func(w *World) { w.LateCommands(0.2+0.6*w.Rand.Float64(), w.between(3000, 28_000)) }},
+	{"mute machines", func(w *World) { w.SomeUp(0.4, func(h *Host) { w.Mute(h, w.between(2000, 28_000)) }) }},
+	{"jobs cancelled together", func(w *World) { w.CancelNow(1+w.Rand.IntN(4), w.between(0, 2)*w.between(2000, 10_000)) }},
+	{"jobs cancelled as they end", func(w *World) { w.CancelAtEnd(0.5, w.between(3000, 28_000)) }},
+	{"odd requests", func(w *World) { w.OddRequests(w.between(3000, 28_000)) }},
+	{"close looks", func(w *World) { w.CloseLooks(w.between(3000, 28_000)) }},
 	{"deaf machines", func(w *World) { w.SomeUp(0.4, func(h *Host) { w.Deafen(h, w.between(2000, 28_000)) }) }},
 	{"a member cut from state and peers, held", func(w *World) { w.Sever(w.anyMember(), w.between(3000, 28_000), false) }},
 	{"a member cut from state and peers, refused", func(w *World) { w.Sever(w.anyMember(), w.between(3000, 28_000), true) }},
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -90,6 +90,7 @@
 	lastAt   int64
 	again    bool  // the last report had no answer that counts
 	deafTill int64 // it hears nothing
+	muteTill int64 // it can open no connection to a member
 	// Direct commands to it, and their answers, are held up.
 	commandsTill, answersTill int64
 	pause                     int64 // until the next report if nothing changes
@@ -239,12 +240,24 @@
 	// Late counts changes that were carried out late, by their keys' prefix, Copies
 	// reports that arrived once more.
 	Late, Copies map[string]int
+	// LostAnswerCount counts transactions that were carried out and whose answer was lost.
+	LostAnswerCount int
+	// Looks counts how often users asked at all members at once.
+	Looks int
 	// LateIf tells which further transactions are carried out late.
 	LateIf func(*Member, scheduler.StoreOp) bool
 
 	o           Options
 	lateWrites  share
 	lateReports share
+	lostAnswers share // of transactions that are carried out at once
+	nextReports share // of reports of which a copy is kept for the next claim
+	keptReports []keptReport
+	lateOrders  share // of direct commands
+	endCancels  share // of jobs that are cancelled as they end
+	closeLooks  int64 // until when users ask at all members at once
+	oddRequests int64 // until when users send what makes no sense
+	oddJobs     int   // how many such jobs were sent
 	slowBy      int64
 	slowTill    int64
 	calmSince   int64 // when the last trouble was over
@@ -500,6 +513,11 @@
 				w.watches = append(w.watches, parked{op, w.Now + op.MS, m.Name, back})
 				return
 			}
+			w.noteClaim(op, r)
+			if op.Kind == scheduler.StoreTxn && w.lostAnswers.draws(w) {
+				w.LostAnswerCount++
+				return
+			}
 			back(r)
 		})
 		w.After(limit, m.live(epoch, func() { m.Core.StoreDone(m.Clock(), op.ID, scheduler.StoreResult{Outcome: scheduler.Unknown}) }))
@@ -526,7 +544,11 @@
 		if h == nil {
 			continue
 		}
-		w.hop(m.Name, "w"+d.Machine, func() { w.until(h.commandsTill, func() { w.runDo(m, epoch, h, d) }) })
+		if len(d.Commands) > 0 && w.lateOrders.draws(w) {
+			w.runLate(h, d)
+		} else {
+			w.hop(m.Name, "w"+d.Machine, func() { w.until(h.commandsTill, func() { w.runDo(m, epoch, h, d) }) })
+		}
 		w.After(simTimeout, m.live(epoch, func() { m.Core.DoDone(m.Clock(), d.ID, scheduler.DoResult{Outcome: scheduler.Unknown}) }))
 	}
 	for _, r := range o.Relays {
@@ -665,6 +687,7 @@
 				}
 				if j.Done[t.Name] = true; len(j.Done) == j.Job.Tasks && j.Ended == 0 {
 					j.Ended = w.Now
+					w.endedJob(j)
 				}
 			},
 			Execute: func(t *standin.Task) standin.Execution {
@@ -749,7 +772,14 @@
 		h.nextAt, h.again = w.Now+1000, true
 	}
 	me := "w" + h.Rental.ID
+	if h.muteTill > w.Now {
+		w.After(connectMS, next)
+		return
+	}
 	deliver := func() {
+		if h.muteTill > w.Now {
+			return
+		}
 		if m.Core == nil || w.Refused != nil && w.Refused(m.Name) {
 			// Refused: nothing listens there, or it has no connection left.
 			w.hop(m.Name, me, func() {
@@ -774,7 +804,7 @@
 				w.o.Sabotage.Start(&a)
 			}
 			w.hop(m.Name, me, func() {
-				if done || h.Gone || h.deafTill > w.Now {
+				if done || h.Gone || h.deafTill > w.Now || h.muteTill > w.Now {
 					return
 				}
 				if h.HungTill > w.Now {
@@ -797,6 +827,7 @@
 		m.Core.Report(m.Clock(), id, r)
 		m.drain()
 		w.lateReport(h, m, r)
+		w.keepReport(h, r)
 	}
 	w.hop(me, m.Name, deliver)
 	if w.Rand.Float64() < 0.01 {
@@ -969,9 +1000,11 @@
 		}
 		if !j.Accepted {
 			j.Accepted, j.AcceptedAt = true, w.Now
+			w.lookClosely(j)
 		}
 		if a.State.Final() && !j.Told.Final() {
 			j.Told, j.toldAt = a.State, w.Now
+			w.lookClosely(j)
 		}
 	case 404, 400, 422:
 		if j.Accepted && asked > j.AcceptedAt {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -73,6 +73,8 @@
 		return []any{live}
 	case out.status == 404 && in.kind != scheduler.Submit && s == absent:
 		return []any{absent}
+	case (out.status == 400 || out.status == 422) && in.kind == scheduler.Submit && s == absent:
+		return []any{absent}
 	case found && s != absent && (s == out.state || s == live && out.state == done):
 		return []any{out.state}
 	case found && s == live && out.state == cancelled && (in.kind == scheduler.Cancel || in.givenUp):
