Questions about jobs share reads: a flood of them made jobs forgotten

Cause: each question cost one or two reads of the state service. Change: questions that come together wait for one watch that does not block, sent after them; the mirror then has all that was written before.

--- a/internal/mesh/admin.go
+++ b/internal/mesh/admin.go
@@ -214,7 +214,7 @@
 	}{
 		{"start", k.Starts}, {"lost_task", k.Lost}, {"task_error", k.Errors}, {"claim", k.Claims}, {"rented", k.Rented},
 		{"returned", k.Returned}, {"moved", k.Moved}, {"replan", k.Replans}, {"accepted", k.Accepted}, {"finished", k.Finished},
-		{"preempted", k.Preempted}, {"refused", k.Refused}, {"relayed", k.Relayed}, {"shed", k.Shed},
+		{"preempted", k.Preempted}, {"refused", k.Refused}, {"relayed", k.Relayed}, {"read_batches", k.Batches}, {"shed", k.Shed},
 		{"adopted", k.Adopted}, {"stray", k.Strays}, {"ceded", k.Ceded},
 		{"in_doubt", k.InDoubt}, {"old_report", k.Old}, {"unheard", k.Unheard},
 	} {
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -169,6 +169,7 @@
 	nextRelay uint64
 	hurry     float64 // relays that may go only to hurry
 
+	reads    reads
 	finals   map[string]finalRecord
 	finalLog []string
 	waiting  map[string][]waiter // machine: reports that wait for its registration
@@ -201,6 +202,7 @@
 	Preempted uint64 `json:"preempted"`
 	Refused   uint64 `json:"refused"`
 	Relayed   uint64 `json:"relayed"`
+	Batches   uint64 `json:"read_batches"` // of users' questions that shared a read
 	Shed      uint64 `json:"shed"`
 	Adopted   uint64 `json:"adopted"`    // tasks of earlier claims that go on
 	Strays    uint64 `json:"strays"`     // tasks that were not ours to keep
@@ -268,7 +270,7 @@
 	m.nextID++
 	op.ID = m.nextID
 	switch {
-	case op.Kind == StoreWatch: // waits by its nature
+	case op.Kind == StoreWatch && op.MS > 0: // waits by its nature
 		m.store[op.ID] = done
 	case op.Urgency == Progress:
 		// Put off for as long as the rate is short: its time is not the state
@@ -341,6 +343,7 @@
 	m.tickPeers()
 	m.tickFleet()
 	m.pumpAccepts()
+	m.pumpReads()
 	m.hurryQuestions()
 }
 
@@ -381,19 +384,24 @@
 			if !m.acc.Looked(m.now.Steady, ask.Look, r.Outcome, m.rng.Float64()) || r.Outcome != OK {
 				return
 			}
-			for _, it := range r.Items {
-				m.apply(it)
-			}
-			m.rev = max(m.rev, r.Rev)
-			for k, at := range m.tombs {
-				if at <= m.rev {
-					delete(m.tombs, k)
-				}
-			}
+			m.watched(r)
 		})
 	}
 }
 
+// watched takes all changes since a revision that the mirror had.
+func (m *Member) watched(r StoreResult) {
+	for _, it := range r.Items {
+		m.apply(it)
+	}
+	m.rev = max(m.rev, r.Rev)
+	for k, at := range m.tombs {
+		if at <= m.rev {
+			delete(m.tombs, k)
+		}
+	}
+}
+
 // mirror takes a list of everything live.
 func (m *Member) mirror(items []Item, rev uint64) {
 	found := make(map[string]bool, len(items))
--- a/scheduler/relay.go
+++ b/scheduler/relay.go
@@ -61,7 +61,7 @@
 	case Submit:
 		m.submit(reply, r)
 	case Query:
-		m.lookup(r.ID, Reads, func(a UserAnswer, _ *Item) { m.reply(reply, a) })
+		m.query(q)
 	case Cancel:
 		m.cancel(reply, r.ID, 3)
 	}
--- a/scheduler/users.go
+++ b/scheduler/users.go
@@ -50,28 +50,37 @@
 			m.apply(r.Items[0])
 			done(m.liveAnswer(id, &rec), &r.Items[0])
 		case r.Outcome == NotFound:
-			m.ask(StoreOp{Kind: StoreGet, Urgency: u, Key: finalKey(id)}, func(r StoreResult) {
-				switch {
-				case r.Outcome == OK && len(r.Items) == 1:
-					var f finalRecord
-					if json.Unmarshal(r.Items[0].Value, &f) != nil {
-						done(unavailable(id, "record unreadable"), nil)
-						return
-					}
-					m.remember(id, f)
-					done(f.answer(id), nil)
-				case r.Outcome == NotFound:
-					done(UserAnswer{Status: 404, ID: id, Error: "no such job"}, nil)
-				default:
-					done(unavailable(id, "state service unavailable"), nil)
-				}
-			})
+			m.lookupFinal(id, u, func(a UserAnswer) { done(a, nil) })
 		default:
 			done(unavailable(id, "state service unavailable"), nil)
 		}
 	})
 }
 
+// lookupFinal asks the store for the end of a job that is not live.
+func (m *Member) lookupFinal(id string, u Urgency, done func(UserAnswer)) {
+	if f, ok := m.finals[id]; ok {
+		done(f.answer(id))
+		return
+	}
+	m.ask(StoreOp{Kind: StoreGet, Urgency: u, Key: finalKey(id)}, func(r StoreResult) {
+		switch {
+		case r.Outcome == OK && len(r.Items) == 1:
+			var f finalRecord
+			if json.Unmarshal(r.Items[0].Value, &f) != nil {
+				done(unavailable(id, "record unreadable"))
+				return
+			}
+			m.remember(id, f)
+			done(f.answer(id))
+		case r.Outcome == NotFound:
+			done(UserAnswer{Status: 404, ID: id, Error: "no such job"})
+		default:
+			done(unavailable(id, "state service unavailable"))
+		}
+	})
+}
+
 // liveAnswer gives the state of a live job with what members last knew of it.
 func (m *Member) liveAnswer(id string, rec *jobRecord) UserAnswer {
 	a := UserAnswer{Status: 200, ID: id, State: Pending, Run: rec.Job.Run}
