Accept: a submission whose answer is lost is answered by its record

Cause: a write that the state service carried out and did not answer kept its user waiting for the request's whole time (2 s) before the key was read back.

Change: once a write takes longer than answers usually do and the mirror, whose watch is open anyway, shows the job's record, the record is read and the user has the answer. That the mirror shows nothing decides nothing. The read takes the place of the one that followed the lost answer; there is one in all.

--- a/access/access.go
+++ b/access/access.go
@@ -358,10 +358,11 @@
 	a.deviation += (max(d, -d) - a.deviation) / 4
 }
 
+// Usual is how long answers take, but for few.
+func (a *Access) Usual() int64 { return min(a.s.Timeout, int64(a.smooth+4*a.deviation)) }
+
 // Late is after how long an answer is overdue.
-func (a *Access) Late() int64 {
-	return min(a.s.Timeout, max(a.s.Timeout/floorPart, int64(a.smooth+4*a.deviation)))
-}
+func (a *Access) Late() int64 { return max(a.s.Timeout/floorPart, a.Usual()) }
 
 // overdue tells whether a request waits longer than answers take.
 func (a *Access) overdue(now int64) bool {
--- a/internal/mesh/admin.go
+++ b/internal/mesh/admin.go
@@ -216,7 +216,7 @@
 		{"returned", k.Returned}, {"moved", k.Moved}, {"replan", k.Replans}, {"accepted", k.Accepted}, {"finished", k.Finished},
 		{"preempted", k.Preempted}, {"refused", k.Refused}, {"relayed", k.Relayed}, {"shed", k.Shed},
 		{"adopted", k.Adopted}, {"stray", k.Strays}, {"ceded", k.Ceded},
-		{"in_doubt", k.InDoubt}, {"old_report", k.Old}, {"unheard", k.Unheard},
+		{"in_doubt", k.InDoubt}, {"old_report", k.Old}, {"confirmed", k.Confirmed}, {"unheard", k.Unheard},
 	} {
 		ch <- prometheus.MustNewConstMetric(descEvents, prometheus.CounterValue, float64(e.n), e.name)
 	}
--- a/scheduler/accept.go
+++ b/scheduler/accept.go
@@ -81,6 +81,9 @@
 
 func (m *Member) record(a accept) (Change, []Guard) {
 	id := a.r.Job.ID
+	if q := m.questions[a.reply]; q != nil {
+		q.written = true
+	}
 	rec := jobRecord{Job: *a.r.Job, Accepted: m.now.Wall, Ranges: m.allot(a.r.Job)}
 	value := encode(rec)
 	if len(value) > m.p.ValueBytes {
@@ -153,6 +156,9 @@
 		m.Counters.Accepted++
 		m.reply(a.reply, UserAnswer{Status: 201, ID: id, State: Pending})
 	case Conflict, Unknown:
+		if m.questions[a.reply] == nil {
+			return // its record was read meanwhile, or a peer answered
+		}
 		m.lookup(id, Answers, func(u UserAnswer, _ *Item) {
 			switch {
 			case u.Status == 404 && t.Outcome == Conflict && len(a.r.Guards) > 0:
@@ -168,3 +174,26 @@
 		m.reply(a.reply, unavailable(id, "state service unavailable"))
 	}
 }
+
+// confirmSeen answers submissions whose write has no answer though answers take less:
+// the answer may be lost, and the mirror shows their record. It is read, since it may
+// have moved on; that it is not in the mirror tells nothing, so a write that may yet be
+// carried out is asked for by nothing but its own end. Each costs one read, in place of
+// the one that follows a write without an answer.
+func (m *Member) confirmSeen() {
+	for _, q := range m.asked {
+		if m.now.Steady-q.at <= m.acc.Usual() {
+			break
+		}
+		if q.over || q.reading || !q.written || m.jobs[q.r.ID] == nil {
+			continue
+		}
+		q.reading = true
+		m.lookup(q.r.ID, Answers, func(a UserAnswer, _ *Item) {
+			if a.Status == 200 && m.questions[q.reply] != nil {
+				m.Counters.Confirmed++
+				m.reply(q.reply, a)
+			}
+		})
+	}
+}
--- a/scheduler/accept_test.go
+++ b/scheduler/accept_test.go
@@ -155,3 +155,64 @@
 		t.Error("the link stays down after an answer")
 	}
 }
+
+// unanswered has a member send a submission's write, which nobody answers for longer
+// than answers take.
+func unanswered(t *testing.T) (m *Member, write StoreOp, record Item) {
+	t.Helper()
+	m = taking(t, 1000)
+	m.User(m.now, 1, offered(1, "ops", Normal))
+	ops := m.Take().Store
+	if len(ops) != 1 || ops[0].Kind != StoreTxn {
+		t.Fatalf("a submission asks %+v", ops)
+	}
+	m.now.Steady += m.acc.Late() / 2
+	m.confirmSeen()
+	if o := m.Take(); len(o.Store)+len(o.Users) > 0 {
+		t.Fatalf("a record that nobody saw is asked for: %+v", o)
+	}
+	return m, ops[0], Item{Key: jobKey("job-000001"), Value: ops[0].Changes[0].Value, Rev: 40}
+}
+
+// A write's answer is lost, and its record is in the mirror: it is read, once, and the
+// user has the answer. Once more is nothing asked when the write's time is up.
+func TestASubmissionIsAnsweredByItsRecord(t *testing.T) {
+	m, write, record := unanswered(t)
+	m.apply(record)
+	m.confirmSeen()
+	m.confirmSeen()
+	ops := m.Take().Store
+	if len(ops) != 1 || ops[0].Kind != StoreGet || ops[0].Key != record.Key {
+		t.Fatalf("asks %+v", ops)
+	}
+	m.StoreDone(m.now, ops[0].ID, StoreResult{Rev: 41, Items: []Item{record}})
+	if a := m.Take().Users[1]; a.Status != 200 || a.State != Pending {
+		t.Fatalf("answered %+v", a)
+	}
+	m.StoreDone(m.now, write.ID, StoreResult{Outcome: Unknown})
+	m.confirmSeen()
+	if o := m.Take(); len(o.Store)+len(o.Users) > 0 {
+		t.Errorf("after the answer %+v", o)
+	}
+}
+
+// A read of the record that fails decides nothing: the write's own end does.
+func TestAFailedReadLeavesTheWriteToItsEnd(t *testing.T) {
+	for _, failed := range []Outcome{Unknown, Refused, Throttled} {
+		m, write, record := unanswered(t)
+		m.apply(record)
+		m.confirmSeen()
+		ops := m.Take().Store
+		if len(ops) != 1 {
+			t.Fatalf("%v: asks %+v", failed, ops)
+		}
+		m.StoreDone(m.now, ops[0].ID, StoreResult{Outcome: failed})
+		if a, ok := m.Take().Users[1]; ok {
+			t.Fatalf("%v: answered %+v", failed, a)
+		}
+		m.StoreDone(m.now, write.ID, StoreResult{Rev: 40})
+		if a := m.Take().Users[1]; a.Status != 201 {
+			t.Errorf("%v: answered %+v", failed, a)
+		}
+	}
+}
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -207,6 +207,7 @@
 	Ceded     uint64 `json:"ceded"`      // tasks stopped for another team's guarantee
 	InDoubt   uint64 `json:"in_doubt"`   // writes of which nobody said whether they were carried out
 	Old       uint64 `json:"old_report"` // reports that were no newer than another
+	Confirmed uint64 `json:"confirmed"`  // submissions answered by their record, with no answer to their write
 	Unheard   uint64 `json:"unheard"`    // starts in the answer to a report that its worker did not hear
 }
 
@@ -341,6 +342,7 @@
 	m.tickPeers()
 	m.tickFleet()
 	m.pumpAccepts()
+	m.confirmSeen()
 	m.hurryQuestions()
 }
 
--- a/scheduler/relay.go
+++ b/scheduler/relay.go
@@ -16,6 +16,8 @@
 	relayed bool        // a peer was asked, once at most
 	waiting bool        // for the peer
 	bad     *UserAnswer // what was learned here: come back later
+	written bool        // a submission whose write was sent
+	reading bool        // its record was seen in the mirror, and is read
 	over    bool
 }
 
