--- a/scheduler/meetings_test.go
+++ b/scheduler/meetings_test.go
@@ -53,13 +53,17 @@
 
 const meetBusy = 120_000
 
-// meetings are those of the page, one after the other. What a day has to have shown
-// is summed up over its seeds by name, with the least that is worth the name of it.
-var meetings = map[string]struct {
+// meeting is a kind of day on which certain troubles meet. What its days have to have
+// shown is summed up over the seeds by name, with the least that makes them worth playing.
+type meeting struct {
 	shape  func(w *world, j *scheduler.Job, n int)
 	brings func(t *testing.T, w *world, showed map[string]int)
 	least  map[string]int
-}{
+}
+
+// meetings are those of the page, one after the other; those in the other files
+// meetings_*_test.go are played with them.
+var meetings = map[string]meeting{
 	"writes carried out late": {
 		// Groups that fill their shard go to peers, and none runs long: many moves.
 		shape: func(w *world, j *scheduler.Job, n int) {
@@ -386,7 +390,9 @@
 }
 
 func TestMeetings(t *testing.T) {
-	for name, c := range meetings {
+	all := maps.Clone(meetings)
+	maps.Copy(all, requestMeetings)
+	for name, c := range all {
 		t.Run(strings.ReplaceAll(name, ", ", " "), func(t *testing.T) {
 			t.Parallel()
 			showed := map[string]int{}
