--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -35,6 +35,22 @@
 // answer lost.
 func (w *World) LostAnswers(of float64, ms int64) { w.lostAnswers = share{of, w.Now + ms} }
 
+// losesAnswer takes the answer to a transaction that was carried out, or refused for its
+// conditions.
+func (w *World) losesAnswer(m *Member, op scheduler.StoreOp, r scheduler.StoreResult) bool {
+	worked := r.Outcome == scheduler.OK
+	if op.Kind != scheduler.StoreTxn || !w.lostAnswers.draws(w) && !(worked && w.LoseIf != nil && w.LoseIf(m, op)) {
+		return false
+	}
+	w.LostAnswerCount++
+	if worked {
+		for _, c := range op.Changes {
+			w.Lost[KindOf(c.Key)]++
+		}
+	}
+	return true
+}
+
 // LateCommands has that share of direct commands be held up for 2 to 16 s and carried
 // out once, unanswered, if token and session still match.
 func (w *World) LateCommands(of float64, ms int64) { w.lateOrders = share{of, w.Now + ms} }
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -242,6 +242,10 @@
 	Late, Copies map[string]int
 	// LostAnswerCount counts transactions that were carried out and whose answer was lost.
 	LostAnswerCount int
+	// Lost counts changes of which only the answer was lost, by their keys' prefix.
+	Lost map[string]int
+	// LoseIf tells of which further transactions that were carried out the answer is lost.
+	LoseIf func(*Member, scheduler.StoreOp) bool
 	// Looks counts how often users asked at all members at once.
 	Looks int
 	// LateIf tells which further transactions are carried out late.
@@ -278,7 +282,7 @@
 		o.RunMS = func(w *World, _ *Job, _ string) int64 { return 1000 + w.Rand.Int64N(9000) }
 	}
 	w := &World{Rand: rand.New(rand.NewPCG(o.Seed, 1)), State: standin.NewState(), Cloud: standin.NewCloud(o.Types, o.Capacity), Hosts: map[string]*Host{},
-		Jobs: map[string]*Job{}, Lags: map[string]Lag{}, Outage: map[string]int64{}, Broken: map[string]string{}, Asked: map[scheduler.StoreKind]int{}, Orders: map[string][]int{}, Late: map[string]int{}, Copies: map[string]int{},
+		Jobs: map[string]*Job{}, Lags: map[string]Lag{}, Outage: map[string]int64{}, Broken: map[string]string{}, Asked: map[scheduler.StoreKind]int{}, Orders: map[string][]int{}, Late: map[string]int{}, Lost: map[string]int{}, Copies: map[string]int{},
 		GivenUp: map[string]string{}, tries: map[string]bool{}, limits: map[string]limitCount{}, Loss: o.Loss, Params: o.Params, o: o}
 	w.Cloud.Rented = func(r *standin.Rental) { w.rented(r) }
 	w.Cloud.Released = func(r *standin.Rental) {
@@ -514,8 +518,7 @@
 				return
 			}
 			w.noteClaim(op, r)
-			if op.Kind == scheduler.StoreTxn && w.lostAnswers.draws(w) {
-				w.LostAnswerCount++
+			if w.losesAnswer(m, op, r) {
 				return
 			}
 			back(r)
--- a/scheduler/meetings_test.go
+++ b/scheduler/meetings_test.go
@@ -413,6 +413,9 @@
 				for k, n := range w.Late {
 					showed["late "+k] += n
 				}
+				for k, n := range w.Lost {
+					showed["lost "+k] += n
+				}
 				for k, n := range w.Copies {
 					showed["copies "+k] += n
 				}
