--- a/scheduler/gap_test.go
+++ b/scheduler/gap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/grebedock/grebedock/availability"
@@ -24,9 +25,30 @@
 	there     int64 // how long tasks of cancelled jobs were on machines, over those jobs
 }
 
-// playGap plays one, with timings of its own. authority is by how many seconds the
-// members are told a longer cancel_s than the rule has.
-func playGap(seed uint64, authority float64) gap {
+// gapTimes are when things happen after the leader is refused, in milliseconds.
+type gapTimes struct {
+	outage      int64 // then the state service is out for all
+	length      int64 // for so long
+	cancelFrom  int64 // users cancel from then on
+	cancelUntil int64
+}
+
+// anyGap draws the timings: cancellations come before, during and after the refusal began.
+func anyGap(w *world) gapTimes {
+	outage := w.Rand.Int64N(13_000)
+	return gapTimes{outage: outage, length: 8000 + w.Rand.Int64N(60_000), cancelFrom: -1200, cancelUntil: outage + 200}
+}
+
+// secondGap has jobs cancelled at the very moment of the refusal, and the state service
+// out a second later, for longer than cancel_s.
+func secondGap(w *world) gapTimes {
+	cancelS := int64(w.Params.CancelS * 1000)
+	return gapTimes{outage: 950 + w.Rand.Int64N(100), length: cancelS + 1000 + w.Rand.Int64N(2*cancelS), cancelFrom: -50, cancelUntil: 50}
+}
+
+// playGap plays one. authority is by how many seconds the members are told a longer
+// cancel_s than the rule has.
+func playGap(seed uint64, authority float64, times func(*world) gapTimes) gap {
 	g := gap{}
 	p := params(10_000)
 	p.Teams = map[string]scheduler.Team{"t0": {}}
@@ -58,16 +80,14 @@
 			}
 		}
 	})
-	outage := w.Rand.Int64N(13_000)
-	length := 8000 + w.Rand.Int64N(60_000)
-	w.After(refused, func() { w.Away(leader.Name, outage+length) })
-	w.After(refused+outage, func() { w.Away("all", length) })
-	// Users cancel through a peer, before, during and after the refusal began.
-	for n := range 14 {
-		w.After(refused-1200+w.Rand.Int64N(outage+1400), func() { g.cancel(leader, fmt.Sprintf("job-%06d", n)) })
+	at := times(w)
+	w.After(refused, func() { w.Away(leader.Name, at.outage+at.length) })
+	w.After(refused+at.outage, func() { w.Away("all", at.length) })
+	for n := range 14 { // users cancel through a peer
+		w.After(refused+at.cancelFrom+w.Rand.Int64N(at.cancelUntil-at.cancelFrom), func() { g.cancel(leader, fmt.Sprintf("job-%06d", n)) })
 	}
 	more := func(f func(*emulator.Member)) {
-		w.After(refused+w.Rand.Int64N(outage+15_000), func() { f(leader) })
+		w.After(refused+w.Rand.Int64N(at.outage+15_000), func() { f(leader) })
 	}
 	switch seed % 8 {
 	case 1:
@@ -139,10 +159,19 @@
 }
 
 func TestTheGap(t *testing.T) {
-	t.Parallel()
+	for name, times := range map[string]func(*world) gapTimes{"any": anyGap, "cancelled at the refusal, out a second later": secondGap} {
+		t.Run(strings.ReplaceAll(name, ", ", " "), func(t *testing.T) {
+			t.Parallel()
+			testGaps(t, times)
+		})
+	}
+}
+
+func testGaps(t *testing.T, times func(*world) gapTimes) {
+	t.Helper()
 	confirmed, renewed, longest, there := 0, 0, int64(0), int64(0)
 	for seed := range uint64(2 * *seeds) {
-		g := playGap(7000+seed, 0)
+		g := playGap(7000+seed, 0, times)
 		for rule, what := range g.w.Broken {
 			t.Errorf("seed %d: %s: %s", seed, rule, what)
 		}
@@ -161,10 +190,13 @@
 // Authority that is kept a little too long is found.
 func TestTheGapIsSeen(t *testing.T) {
 	t.Parallel()
-	for seed := range uint64(2 * *seeds) {
-		if playGap(7000+seed, 2.5).w.Broken["ran_cancelled"] != "" {
-			return
+	for name, times := range map[string]func(*world) gapTimes{"any": anyGap, "cancelled at the refusal": secondGap} {
+		seen := false
+		for seed := uint64(0); seed < uint64(2**seeds) && !seen; seed++ {
+			seen = playGap(7000+seed, 2.5, times).w.Broken["ran_cancelled"] != ""
+		}
+		if !seen {
+			t.Errorf("%s: authority that lasts too long is not seen", name)
 		}
 	}
-	t.Error("authority that lasts too long is not seen")
 }
