History: what says no more than others do is left out of the check

A question in whose time another one was asked and answered alike can stand next to it; a submission that may have worked within the time of another that may have worked says nothing.

--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -121,13 +121,8 @@
 	}
 	var out []Violation
 	for _, job := range order {
-		told := open(byJob[job])
-		var h []porcupine.Operation
-		for _, op := range told {
-			h = append(h, porcupine.Operation{ClientId: op.Client, Call: op.Call, Return: op.Return,
-				Input: input{op.Kind, givenUp != nil && givenUp(job)}, Output: output{op.Status, of(op.State)}})
-		}
-		switch porcupine.CheckOperationsTimeout(model, h, patience) {
+		told := necessary(open(byJob[job]))
+		switch fits(told, givenUp != nil && givenUp(job)) {
 		case porcupine.Illegal:
 			out = append(out, Violation{job, told})
 		case porcupine.Unknown:
@@ -137,6 +132,16 @@
 	return out, nil
 }
 
+// fits tells whether there is an order of a job's requests that explains the answers.
+func fits(told []Op, givenUp bool) porcupine.CheckResult {
+	var h []porcupine.Operation
+	for _, op := range told {
+		h = append(h, porcupine.Operation{ClientId: op.Client, Call: op.Call, Return: op.Return,
+			Input: input{op.Kind, givenUp}, Output: output{op.Status, of(op.State)}})
+	}
+	return porcupine.CheckOperationsTimeout(model, h, patience)
+}
+
 // open leaves out questions that had no answer, and lets submissions and
 // cancellations without one last for ever: of each kind the first, which can
 // do at any time what the later ones could. A submission that hears of a job as
@@ -169,3 +174,33 @@
 	}
 	return out
 }
+
+// necessary leaves out what says no more than others do, so that crowds of requests that
+// overlap have few orders to try: a question in whose time another one was asked and
+// answered alike, which can stand next to it, and a submission that may have worked within
+// the time of another one, which may have worked then too.
+func necessary(ops []Op) []Op {
+	within := func(a, b int) bool { // the time of a is within that of b
+		x, y := ops[a], ops[b]
+		same := x.Call == y.Call && x.Return == y.Return
+		return x.Call >= y.Call && x.Return <= y.Return && (!same || a < b)
+	}
+	alike := func(a, b Op) bool { return a.Kind == b.Kind && a.Status == b.Status && of(a.State) == of(b.State) }
+	var out []Op
+	for i, op := range ops {
+		needed := true
+		for k, other := range ops {
+			if i == k || !alike(op, other) {
+				continue
+			}
+			if op.Kind == scheduler.Query && op.Status != 0 && within(k, i) || op.Kind == scheduler.Submit && op.Status == 0 && within(i, k) {
+				needed = false
+				break
+			}
+		}
+		if needed {
+			out = append(out, op)
+		}
+	}
+	return out
+}
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"testing"
 
+	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
 	"github.com/grebedock/grebedock/scheduler"
@@ -125,3 +126,41 @@
 		t.Error("a service that answers from an old state is never accused")
 	}
 }
+
+// What is left out changes no verdict: whatever was told of a job, with it and without it.
+func TestWhatIsLeftOutChangesNoVerdict(t *testing.T) {
+	left, verdicts := 0, map[porcupine.CheckResult]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		ops := []Op{told(1, 100, submit, 201, pending)}
+		if rapid.Bool().Draw(t, "lost") {
+			ops[0].Status, ops[0].State = 0, ""
+		}
+		states := []scheduler.State{running, running, isDone, isCancelled}
+		for range rapid.IntRange(1, 9).Draw(t, "requests") {
+			op := Op{Job: "job-1", Kind: rapid.SampledFrom([]scheduler.UserKind{submit, query, query, query, cancel}).Draw(t, "kind")}
+			op.Call = rapid.Int64Range(1, 2000).Draw(t, "call")
+			op.Return = op.Call + rapid.Int64Range(1, 1500).Draw(t, "length")
+			op.Status, op.State = 200, rapid.SampledFrom(states).Draw(t, "state")
+			if rapid.IntRange(0, 9).Draw(t, "unknown") == 0 {
+				op.Status, op.State = 404, ""
+			}
+			if op.Kind == cancel && op.State == running || rapid.IntRange(0, 5).Draw(t, "unanswered") == 0 {
+				op.Status, op.State = 0, ""
+			}
+			ops = append(ops, op)
+		}
+		givenUp := rapid.Bool().Draw(t, "given up")
+		all := open(ops)
+		few := necessary(all)
+		left += len(all) - len(few)
+		verdict := fits(all, givenUp)
+		verdicts[verdict]++
+		if got := fits(few, givenUp); got != verdict {
+			t.Fatalf("%v with all of %v, %v with %v", verdict, all, got, few)
+		}
+	})
+	if left == 0 || verdicts[porcupine.Ok] == 0 || verdicts[porcupine.Illegal] == 0 {
+		t.Errorf("%d left out, verdicts %v", left, verdicts)
+	}
+	t.Logf("%d left out, verdicts %v", left, verdicts)
+}
