--- a/cwl/values.go
+++ b/cwl/values.go
@@ -61,7 +61,7 @@
 // checkValue says why a value is not of a type.
 func checkValue(t *Type, v any) error { return validate(t.schema(), v) }
 
-// Inputs checks and completes the inputs of a process: defaults are filled in,
+// CheckInputs checks and completes the inputs of a process: defaults are filled in,
 // files get the names that expressions ask for. Inputs that the process does
 // not have are an error, since they are mostly misspelt.
 func (p *Process) CheckInputs(given map[string]any) (map[string]any, error) {
--- a/disruption/disruption_test.go
+++ b/disruption/disruption_test.go
@@ -37,7 +37,6 @@
 	l      *Ledger
 	acc    map[string]*Account
 	down   map[string]map[string]int // by shard, task: since when it is stopped
-	times  []int64                   // of stops
 	now    int64
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -35,11 +35,11 @@
 	var out Placement
 	req := g.Ask.Room()
 	type candidate struct {
-		m                  *Machine
-		rank               int
-		left               float64
-		fetch              int64
-		short, open, queue bool
+		m           *Machine
+		rank        int
+		left        float64
+		fetch       int64
+		short, open bool
 	}
 	var all []candidate
 	for _, m := range b.ms {
--- a/reconcile/reconcile_test.go
+++ b/reconcile/reconcile_test.go
@@ -56,19 +56,18 @@
 }
 
 type modelWorker struct {
-	id                 string
-	tasks              []modelTask
-	token, session     uint64
-	seq                uint64
-	answered           int64
-	hung               bool
-	mail               []func() // commands under way to it
-	note               Note
-	atMost             int // its room
-	strays             int // that its last report showed
-	known              *Machine
-	mine               map[[2]int]bool // attempts of the present claim, not over
-	sentSeq, afterSeqs map[[2]int]uint64
+	id             string
+	tasks          []modelTask
+	token, session uint64
+	seq            uint64
+	answered       int64
+	hung           bool
+	mail           []func() // commands under way to it
+	atMost         int      // its room
+	strays         int      // that its last report showed
+	known          *Machine
+	mine           map[[2]int]bool // attempts of the present claim, not over
+	sentSeq        map[[2]int]uint64
 }
 
 type model struct {
--- a/recurrence/schedule.go
+++ b/recurrence/schedule.go
@@ -284,9 +284,7 @@
 // instants are the times at which a zone's clocks show a day and a time.
 func (s *Schedule) instants(d Date, c Clock) (ts []time.Time, why string, ok bool) {
 	wall := d.utc().Add(time.Duration(c) * time.Second)
-	for _, t := range s.shows(wall) {
-		ts = append(ts, t)
-	}
+	ts = append(ts, s.shows(wall)...)
 	switch {
 	case len(ts) == 1:
 		return ts, "", true
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -24,7 +24,6 @@
 	nextList    int64
 	listing     bool
 	nextCatalog int64
-	catalog     []byte
 	releasing   bool
 	nextRelease int64
 	nextRent    int64
--- a/scheduler/roster.go
+++ b/scheduler/roster.go
@@ -424,19 +424,6 @@
 	}
 }
 
-// dropWaiting sends workers on whose machines got no owner in time.
-func (m *Member) dropWaiting() {
-	for id, ws := range inOrder(m.waiting) {
-		if m.now.Steady-ws[0].at < 2000 && m.fleet.leading {
-			continue
-		}
-		delete(m.waiting, id)
-		for _, w := range ws {
-			m.answer(w.reply, WorkerAnswer{})
-		}
-	}
-}
-
 // applyFleet brings the mirror of rosters and lists up to a change.
 func (m *Member) applyFleet(it Item) error {
 	switch {
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -107,7 +107,6 @@
 	dirty    bool // done differs from stored
 	writing  bool
 	wroteAt  int64
-	ended    bool // its end is being written
 	admitted bool
 	retryAt  int64 // after errors: wait until then
 	errors   int
