One frame for extensions: extension.Base and internal/node's runner; hosts split by job

Cause: workflow/host.go (1016 lines) and schedules/host.go (1094) kept the same books of requests under way, answers and pages read; internal/node ran each by hand. recurrence and schedules imported an internal package of a higher layer.

Change: - beside becomes extension (the field's term). Base[Q, R, A] numbers and gathers the requests to the state service, to the core and of the extension's own kind, and hands each answer on once; Get and List stand for three and three copies; ShardOf and Encode for two each. - internal/node: runner takes a state machine, its requests and its counters; the metrics' code stands once.

Tests: the hosts' read Requests and RequestDone where they read Data and DataDone, and ShardOf in place of the method; the simulation of schedules has a file of its own.

--- a/cmd/grebedock/rollout.go
+++ b/cmd/grebedock/rollout.go
@@ -12,7 +12,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/grebedock/grebedock/internal/strict"
+	"github.com/grebedock/grebedock/strict"
 	"github.com/grebedock/grebedock/internal/wire"
 	"github.com/grebedock/grebedock/rollout"
 	"github.com/grebedock/grebedock/scheduler"
--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -15,7 +15,7 @@
 	"github.com/grebedock/grebedock/disruption"
 	"github.com/grebedock/grebedock/internal/history"
 	"github.com/grebedock/grebedock/internal/standin"
-	"github.com/grebedock/grebedock/internal/strict"
+	"github.com/grebedock/grebedock/strict"
 	"github.com/grebedock/grebedock/rollout"
 	"github.com/grebedock/grebedock/scheduler"
 )
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -9,7 +9,7 @@
 	"os"
 	"path/filepath"
 
-	"github.com/grebedock/grebedock/internal/strict"
+	"github.com/grebedock/grebedock/strict"
 )
 
 // Switch is a subsystem's table.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,17 +33,17 @@
 
 // Node is a running controller.
 type Node struct {
-	f      *config.File
-	log    *slog.Logger
-	start  time.Time
-	core   *scheduler.Member
-	lanes  lanes
-	ended  <-chan struct{}
-	up     atomic.Bool
-	health *health
-	guards []*guard.Guard
-	flows  *workflows // nil: switched off
-	recurs *recurring // nil: switched off
+	f         *config.File
+	log       *slog.Logger
+	start     time.Time
+	core      *scheduler.Member
+	lanes     lanes
+	ended     <-chan struct{}
+	up        atomic.Bool
+	health    *health
+	guards    []*guard.Guard
+	workflows *workflowRunner // nil: switched off
+	schedules *scheduleRunner // nil: switched off
 
 	store       *store.Store
 	cloud       *cloud.Cloud
@@ -97,18 +97,18 @@
 	p.Debug = log.Enabled(ctx, slog.LevelDebug)
 	n.core = scheduler.New(p, rand.Uint64(), n.now())
 	if set.Workflows.On {
-		n.flows = newWorkflows(n, f, set.Workflows.Data)
+		n.workflows = newWorkflowRunner(n, f, set.Workflows.Data)
 	}
 	if set.Schedules.On {
-		n.recurs = newRecurring(n, f)
+		n.schedules = newScheduleRunner(n, f)
 	}
 	n.store = store.New(ctx, f, func(id uint64, r scheduler.StoreResult) {
 		switch {
-		case id&flowsID != 0:
-			n.flows.storeDone(id, r)
+		case id&workflowRequests != 0:
+			n.workflows.storeDone(id, r)
 			return
-		case id&recursID != 0:
-			n.recurs.storeDone(id, r)
+		case id&scheduleRequests != 0:
+			n.schedules.storeDone(id, r)
 			return
 		}
 		n.put(func(now scheduler.Now) { n.core.StoreDone(now, id, r) })
@@ -136,23 +136,23 @@
 		meshLn = n.guard(ctx, "mesh", meshLn, meshSlots, mesh.Classes())
 	}
 	frontApp := front.New(n, sockets, guarded)
-	if n.flows != nil {
-		front.ServeWorkflows(frontApp, n.flows)
+	if n.workflows != nil {
+		front.ServeWorkflows(frontApp, n.workflows)
 	}
 	meshApp := mesh.Server(n, sockets, guarded)
-	if n.recurs != nil {
-		mesh.ServeSchedules(meshApp, n.recurs)
+	if n.schedules != nil {
+		mesh.ServeSchedules(meshApp, n.schedules)
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- frontApp.Listener(frontLn) }()
 	go func() { failed <- meshApp.Listener(meshLn) }()
 	log.Info("controller started", "member", f.Member, "zone", f.Zone, "front", f.Front, "mesh", f.MeshAddr, "on", set.On())
 	go n.loop(ctx)
-	if n.flows != nil {
-		go n.flows.loop(ctx)
+	if n.workflows != nil {
+		go n.workflows.loop(ctx)
 	}
-	if n.recurs != nil {
-		go n.recurs.loop(ctx)
+	if n.schedules != nil {
+		go n.schedules.loop(ctx)
 	}
 	select {
 	case err := <-failed:
@@ -373,11 +373,11 @@
 	for _, g := range n.guards {
 		cs = append(cs, g)
 	}
-	if n.flows != nil {
-		cs = append(cs, n.flows)
+	if n.workflows != nil {
+		cs = append(cs, n.workflows)
 	}
-	if n.recurs != nil {
-		cs = append(cs, n.recurs)
+	if n.schedules != nil {
+		cs = append(cs, n.schedules)
 	}
 	return cs
 }
--- a/internal/node/schedules.go
+++ b/internal/node/schedules.go
@@ -1,11 +1,8 @@
 package node
 
 import (
-	"sync/atomic"
-
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/grebedock/grebedock/beside"
 	"github.com/grebedock/grebedock/internal/config"
 	"github.com/grebedock/grebedock/scheduler"
 	"github.com/grebedock/grebedock/schedules"
@@ -17,37 +14,29 @@
 // jobs keep the rest.
 const decideShare = 0.25
 
-// recurring runs the host of schedules.
-type recurring struct {
-	*sidecar[schedules.Answer]
-	host  *schedules.Host
-	count atomic.Pointer[schedules.Counters]
+// scheduleRunner runs the host of schedules.
+type scheduleRunner struct {
+	*runner[schedules.Flow, schedules.FlowResult, schedules.Answer]
+	host *schedules.Host
 }
 
-func newRecurring(n *Node, f *config.File) *recurring {
+func newScheduleRunner(n *Node, f *config.File) *scheduleRunner {
 	p := Params(f)
 	members := float64(len(f.Others) + 1)
-	r := &recurring{host: schedules.NewHost(schedules.Params{Members: p.Members(), Teams: p.Teams, ValueBytes: p.ValueBytes, TxnOps: p.TxnOps,
-		ClockErrorMS: f.Cluster.ClockErrorMS, Rate: f.Cluster.State.WriteRPS / members * decideShare})}
-	r.count.Store(&schedules.Counters{})
-	r.sidecar = newSidecar(n, r.host, recursID, schedules.MarkPrefix, func() (beside.Outputs, map[uint64]schedules.Answer) {
-		o := r.host.Take()
-		for _, f := range o.Flows {
-			go func() {
-				a := n.flow(f)
-				r.put(func(now scheduler.Now) { r.host.FlowDone(now, f.ID, a) })
-			}()
-		}
-		c := r.host.Counters
-		r.count.Store(&c)
-		return o.Outputs, o.Answers
+	host := schedules.NewHost(schedules.Params{
+		Members: p.Members(), Teams: p.Teams, ValueBytes: p.ValueBytes, TxnOps: p.TxnOps,
+		ClockErrorMS: f.Cluster.ClockErrorMS, Rate: f.Cluster.State.WriteRPS / members * decideShare,
 	})
-	return r
+	s := &scheduleRunner{host: host}
+	s.runner = (&runner[schedules.Flow, schedules.FlowResult, schedules.Answer]{
+		n: n, machine: host, mark: scheduleRequests, prefix: schedules.MarkPrefix, perform: n.flow, counters: s.counters,
+	}).ready()
+	return s
 }
 
 // flow carries out what a schedule asks of workflows.
 func (n *Node) flow(f schedules.Flow) schedules.FlowResult {
-	if n.flows == nil {
+	if n.workflows == nil {
 		return schedules.FlowResult{Status: 422, Error: "workflows are not switched on"}
 	}
 	q := workflow.Request{Kind: workflow.Query, ID: f.Run}
@@ -56,7 +45,7 @@
 	} else if f.Abort {
 		q.Kind = workflow.Abort
 	}
-	a, ok := n.flows.User(q, corePatience)
+	a, ok := n.workflows.User(q, corePatience)
 	if !ok {
 		a.Status = 503
 	}
@@ -64,22 +53,18 @@
 }
 
 // Schedules asks the host on an operator's behalf.
-func (r *recurring) Schedules(q schedules.Request) (schedules.Answer, bool) {
-	return r.ask(adminPatience, func(now scheduler.Now, id uint64) { r.host.User(now, id, q) })
+func (s *scheduleRunner) Schedules(q schedules.Request) (schedules.Answer, bool) {
+	return s.ask(adminPatience, func(now scheduler.Now, id uint64) { s.host.User(now, id, q) })
 }
 
 var descSchedules = prometheus.NewDesc("grebedock_schedule_events_total", "Moments of schedules that this member decided, runs and skips among them, and shards whose schedules it read.", []string{"event"}, nil)
 
-// Describe gives the metrics' descriptions.
-func (r *recurring) Describe(ch chan<- *prometheus.Desc) { ch <- descSchedules }
-
-// Collect gives the metrics as they stand.
-func (r *recurring) Collect(ch chan<- prometheus.Metric) {
-	c := r.count.Load()
-	for _, e := range []struct {
-		name string
-		n    uint64
-	}{{"decided", c.Decided}, {"run", c.Runs}, {"skipped", c.Skipped}, {"loaded", c.Loaded}} {
-		ch <- prometheus.MustNewConstMetric(descSchedules, prometheus.CounterValue, float64(e.n), e.name)
+func (s *scheduleRunner) counters() []counter {
+	c := s.host.Counters
+	return []counter{
+		{descSchedules, "decided", c.Decided},
+		{descSchedules, "run", c.Runs},
+		{descSchedules, "skipped", c.Skipped},
+		{descSchedules, "loaded", c.Loaded},
 	}
 }
--- a/internal/node/workflows.go
+++ b/internal/node/workflows.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/grebedock/grebedock/beside"
 	"github.com/grebedock/grebedock/cwl"
 	"github.com/grebedock/grebedock/internal/config"
 	"github.com/grebedock/grebedock/internal/toolrun"
@@ -14,12 +12,11 @@
 	"github.com/grebedock/grebedock/workflow"
 )
 
-// workflows runs the host of workflows.
-type workflows struct {
-	*sidecar[workflow.Answer]
-	dir   toolrun.Dir
-	host  *workflow.Host
-	count atomic.Pointer[workflow.Counters]
+// workflowRunner runs the host of workflows.
+type workflowRunner struct {
+	*runner[workflow.Data, workflow.DataResult, workflow.Answer]
+	dir  toolrun.Dir
+	host *workflow.Host
 }
 
 // Parts of the heap that a document may take: its text, and its values at some
@@ -29,31 +26,23 @@
 	nodeHeap     = 2048
 )
 
-func newWorkflows(n *Node, f *config.File, dir string) *workflows {
+func newWorkflowRunner(n *Node, f *config.File, dir string) *workflowRunner {
 	p := Params(f)
 	heap := int(f.Cluster.Limits.Heap())
-	limits := cwl.Limits{Bytes: heap / documentHeap, Nodes: heap / nodeHeap, Depth: cwl.DefaultLimits.Depth}
-	w := &workflows{dir: toolrun.Dir(dir),
-		host: workflow.NewHost(workflow.Params{Members: p.Members(), Teams: p.Teams, ValueBytes: p.ValueBytes, TxnOps: p.TxnOps, ReportS: p.ReportS, Limits: limits})}
-	w.count.Store(&workflow.Counters{})
-	w.sidecar = newSidecar(n, w.host, flowsID, workflow.LivePrefix, func() (beside.Outputs, map[uint64]workflow.Answer) {
-		o := w.host.Take()
-		for _, d := range o.Data {
-			go func() {
-				r := w.data(d)
-				w.put(func(now scheduler.Now) { w.host.DataDone(now, d.ID, r) })
-			}()
-		}
-		c := w.host.Counters
-		w.count.Store(&c)
-		return o.Outputs, o.Answers
+	host := workflow.NewHost(workflow.Params{
+		Members: p.Members(), Teams: p.Teams, ValueBytes: p.ValueBytes, TxnOps: p.TxnOps, ReportS: p.ReportS,
+		Limits: cwl.Limits{Bytes: heap / documentHeap, Nodes: heap / nodeHeap, Depth: cwl.DefaultLimits.Depth},
 	})
+	w := &workflowRunner{dir: toolrun.Dir(dir), host: host}
+	w.runner = (&runner[workflow.Data, workflow.DataResult, workflow.Answer]{
+		n: n, machine: host, mark: workflowRequests, prefix: workflow.LivePrefix, perform: w.data, counters: w.counters,
+	}).ready()
 	return w
 }
 
 // data carries out a request to the shared directory. Without one, tools are
 // described to the workers by whoever submits, and report no outputs.
-func (w *workflows) data(d workflow.Data) workflow.DataResult {
+func (w *workflowRunner) data(d workflow.Data) workflow.DataResult {
 	switch {
 	case w.dir == "" && d.Description != nil:
 		return workflow.DataResult{}
@@ -70,7 +59,7 @@
 }
 
 // User asks the host on a user's behalf.
-func (w *workflows) User(r workflow.Request, patience time.Duration) (workflow.Answer, bool) {
+func (w *workflowRunner) User(r workflow.Request, patience time.Duration) (workflow.Answer, bool) {
 	if a, ok := w.n.health.refuses(scheduler.UserRequest{Kind: scheduler.Submit}); ok && r.Kind == workflow.Submit {
 		return workflow.Answer{Status: a.Status, Error: a.Error, RetryS: a.RetryS}, true
 	}
@@ -82,17 +71,14 @@
 	descRunJobs = prometheus.NewDesc("grebedock_workflow_jobs_total", "Jobs that this member submitted for workflow runs.", nil, nil)
 )
 
-// Describe gives the metrics' descriptions.
-func (w *workflows) Describe(ch chan<- *prometheus.Desc) { ch <- descRuns; ch <- descRunJobs }
-
-// Collect gives the metrics as they stand.
-func (w *workflows) Collect(ch chan<- prometheus.Metric) {
-	c := w.count.Load()
-	for _, e := range []struct {
-		name string
-		n    uint64
-	}{{"accepted", c.Accepted}, {"loaded", c.Loaded}, {"done", c.Finished}, {"failed", c.Failed}, {"cancelled", c.Cancelled}} {
-		ch <- prometheus.MustNewConstMetric(descRuns, prometheus.CounterValue, float64(e.n), e.name)
+func (w *workflowRunner) counters() []counter {
+	c := w.host.Counters
+	return []counter{
+		{descRuns, "accepted", c.Accepted},
+		{descRuns, "loaded", c.Loaded},
+		{descRuns, "done", c.Finished},
+		{descRuns, "failed", c.Failed},
+		{descRuns, "cancelled", c.Cancelled},
+		{descRunJobs, "", c.Jobs},
 	}
-	ch <- prometheus.MustNewConstMetric(descRunJobs, prometheus.CounterValue, float64(c.Jobs))
 }
--- a/recurrence/file.go
+++ b/recurrence/file.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/grebedock/grebedock/internal/strict"
+	"github.com/grebedock/grebedock/strict"
 )
 
 // File is calendars and schedules as operators write them, in TOML.
--- a/workflow/bench_test.go
+++ b/workflow/bench_test.go
@@ -107,7 +107,7 @@
 		for id, a := range o.Answers {
 			w.answers[id] = a
 		}
-		if len(o.Store)+len(o.Core)+len(o.Data) == 0 {
+		if len(o.Store)+len(o.Core)+len(o.Requests) == 0 {
 			return requests, host
 		}
 		requests += len(o.Store) + len(o.Core)
@@ -123,10 +123,10 @@
 			h.CoreDone(w.time(), c.ID, a)
 			host += time.Since(at)
 		}
-		for _, d := range o.Data {
-			r := w.data(d)
+		for _, d := range o.Requests {
+			r := w.data(d.Body)
 			at := time.Now()
-			h.DataDone(w.time(), d.ID, r)
+			h.RequestDone(w.time(), d.ID, r)
 			host += time.Since(at)
 		}
 	}
--- /dev/null
+++ b/workflow/data.go
@@ -0,0 +1,58 @@
+package workflow
+
+import (
+	"encoding/json"
+
+	"github.com/grebedock/grebedock/cwl"
+	"github.com/grebedock/grebedock/extension"
+)
+
+// Data is a request to wherever descriptions of jobs and their outputs lie. With
+// a Description it is written, else the outputs of all tasks are read.
+type Data struct {
+	Job         string
+	Description []byte
+	Tasks       int
+}
+
+// DataResult answers a Data. Missing tells that there is none, which asking
+// again does not change.
+type DataResult struct {
+	Outputs []map[string]any
+	Missing string
+	Err     error
+}
+
+// description is what a worker needs to run a call's tasks.
+type description struct {
+	Tool   map[string]any   `json:"tool"`
+	Inputs []map[string]any `json:"inputs"`
+}
+
+// Describe writes a call for the workers.
+func Describe(c *Call) []byte { return extension.Encode(description{cwl.Pack(c.Tool), c.Inputs}) }
+
+// Described reads it back.
+func Described(b []byte) (*cwl.Process, []map[string]any, error) {
+	var d struct {
+		Tool   json.RawMessage `json:"tool"`
+		Inputs json.RawMessage `json:"inputs"`
+	}
+	if err := json.Unmarshal(b, &d); err != nil {
+		return nil, nil, err
+	}
+	p, err := cwl.Load("tool", func(string) ([]byte, error) { return d.Tool, nil })
+	if err != nil {
+		return nil, nil, err
+	}
+	v, err := cwl.DecodeJSON(d.Inputs)
+	if err != nil {
+		return nil, nil, err
+	}
+	list, _ := v.([]any)
+	ins := make([]map[string]any, len(list))
+	for i := range list {
+		ins[i], _ = list[i].(map[string]any)
+	}
+	return p, ins, nil
+}
--- a/workflow/host_test.go
+++ b/workflow/host_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/grebedock/grebedock/cwl"
+	"github.com/grebedock/grebedock/extension"
 	"github.com/grebedock/grebedock/internal/standin"
 	"github.com/grebedock/grebedock/scheduler"
 )
@@ -71,7 +72,7 @@
 // claim gives a shard to a member; its earlier holder learns of it only with its
 // next view.
 func (w *world) claim(shard, member string) {
-	r := w.txn(nil, scheduler.Change{Key: scheduler.ShardKey(shard), Value: must(member)})
+	r := w.txn(nil, scheduler.Change{Key: scheduler.ShardKey(shard), Value: extension.Encode(member)})
 	w.revs[shard] = r.Rev
 }
 
@@ -160,10 +161,10 @@
 			}
 		})
 	}
-	for _, d := range o.Data {
+	for _, d := range o.Requests {
 		send(func() func() {
-			r := w.data(d)
-			return func() { h.DataDone(w.time(), d.ID, r) }
+			r := w.data(d.Body)
+			return func() { h.RequestDone(w.time(), d.ID, r) }
 		})
 	}
 }
@@ -195,7 +196,7 @@
 		if w.sabotage {
 			r.Guards = nil
 		}
-		if res := w.txn(r.Guards, scheduler.Change{Key: "jobs/" + r.ID, Value: must(r.ID)}); res.Outcome != scheduler.OK {
+		if res := w.txn(r.Guards, scheduler.Change{Key: "jobs/" + r.ID, Value: extension.Encode(r.ID)}); res.Outcome != scheduler.OK {
 			return scheduler.UserAnswer{Status: 409, ID: r.ID}
 		}
 		if w.store.Value(finalKey(r.Job.Run)) != nil {
@@ -316,7 +317,7 @@
 }
 
 func submission(id string, doc []byte, in map[string]any) []byte {
-	return must(map[string]any{"id": id, "document": json.RawMessage(doc), "inputs": in, "job": map[string]any{"team": "ops"}})
+	return extension.Encode(map[string]any{"id": id, "document": json.RawMessage(doc), "inputs": in, "job": map[string]any{"team": "ops"}})
 }
 
 // play runs some workflows in a world and checks how they end.
@@ -380,8 +381,8 @@
 		case a.State == Cancelled && e.aborted:
 		case e.err != nil && a.State == Failed && a.Error != "":
 		case e.err == nil && a.State == Done:
-			got, _ := cwl.DecodeJSON(must(a.Outputs))
-			exp, _ := cwl.DecodeJSON(must(e.outs))
+			got, _ := cwl.DecodeJSON(extension.Encode(a.Outputs))
+			exp, _ := cwl.DecodeJSON(extension.Encode(e.outs))
 			if !reflect.DeepEqual(got, exp) {
 				t.Errorf("seed %d: %s gives %v, not %v", seed, id, got, exp)
 			}
@@ -453,7 +454,7 @@
 	}
 	ops := `, "job": {"team": "ops"}`
 	packed := func(b []byte) string {
-		return string(must(Submission{ID: "r", Packed: Pack(b), Inputs: map[string]any{"n": 1}, Job: &cwl.JobHint{Team: "ops"}}))
+		return string(extension.Encode(Submission{ID: "r", Packed: Pack(b), Inputs: map[string]any{"n": 1}, Job: &cwl.JobHint{Team: "ops"}}))
 	}
 	random := make([]byte, 80_000)
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -524,7 +525,7 @@
 	h.runs["r"] = d
 	a := Answer{ID: "r"}
 	h.addSteps(&a)
-	if n := len(must(a)); n > 40<<10 || n < 20<<10 {
+	if n := len(extension.Encode(a)); n > 40<<10 || n < 20<<10 {
 		t.Errorf("an answer has %d bytes", n)
 	}
 	if last := a.Steps[len(a.Steps)-1].Step; !strings.HasSuffix(last, "-999") {
--- a/workflow/records.go
+++ b/workflow/records.go
@@ -13,6 +13,7 @@
 	"github.com/klauspost/compress/zstd"
 
 	"github.com/grebedock/grebedock/cwl"
+	"github.com/grebedock/grebedock/extension"
 	"github.com/grebedock/grebedock/scheduler"
 )
 
@@ -92,14 +93,6 @@
 	} `json:"jobs,omitempty"`
 }
 
-func must(v any) json.RawMessage {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(fmt.Sprintf("workflow: record %T does not encode: %v", v, err))
-	}
-	return b
-}
-
 var (
 	packer, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
 	unpacker, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(uint64(cwl.DefaultLimits.Bytes)))
@@ -131,14 +124,14 @@
 
 // pages writes a submission as values of the store.
 func pages(s *Submission, valueBytes int) ([]json.RawMessage, error) {
-	text := base64.StdEncoding.EncodeToString(packer.EncodeAll(must(s), nil))
+	text := base64.StdEncoding.EncodeToString(packer.EncodeAll(extension.Encode(s), nil))
 	if len(text) > maxBlob {
 		return nil, fmt.Errorf("document and inputs take %d bytes compressed, more than %d", len(text), maxBlob)
 	}
 	var out []json.RawMessage
 	for size := valueBytes - 2; len(text) > 0; {
 		n := min(size, len(text))
-		out = append(out, must(text[:n]))
+		out = append(out, extension.Encode(text[:n]))
 		text = text[n:]
 	}
 	return out, nil
