cwl: build.go by job: processes, ports, steps, requirements, packing

Workflow links are a type of their own (linker: source, connect), a step is built piece by piece, what a step's input takes and its output gives are functions. Errors keep their texts and order.

--- /dev/null
+++ b/cwl/steps.go
@@ -0,0 +1,305 @@
+package cwl
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// link reads where a value comes from.
+func (b *builder) link(v *value, key, at string) Link {
+	l := Link{Source: texts(v.get(key))}
+	if s := v.get(key); s != nil {
+		l.Listed = s.kind == array
+	}
+	for i, s := range l.Source {
+		l.Source[i] = strings.TrimPrefix(s, "#")
+	}
+	l.Merge, _ = textOf(v.get("linkMerge"))
+	l.Pick, _ = textOf(v.get("pickValue"))
+	if !slices.Contains([]string{"", "merge_nested", "merge_flattened"}, l.Merge) {
+		b.fail(v.get("linkMerge").Pos, at+".linkMerge", "%q is none of merge_nested, merge_flattened", l.Merge)
+	}
+	if !slices.Contains([]string{"", "first_non_null", "the_only_non_null", "all_non_null"}, l.Pick) {
+		b.fail(v.get("pickValue").Pos, at+".pickValue", "%q is none of first_non_null, the_only_non_null, all_non_null", l.Pick)
+	}
+	return l
+}
+
+// flow builds the steps of a workflow.
+func (b *builder) flow(p *Process, v *value, name string) {
+	if v.get("steps") == nil {
+		b.fail(v.Pos, "steps", "is missing")
+	}
+	l := &linker{builder: b, p: p, steps: map[string]*Step{}, after: map[*Step][]*Step{}}
+	for _, e := range b.idMap(v.get("steps"), "steps", "id", "run") {
+		s := b.step(p, e, name)
+		l.steps[s.ID] = s
+		p.Steps = append(p.Steps, s)
+	}
+	for _, s := range p.Steps {
+		for i := range s.In {
+			in := &s.In[i]
+			l.connect(in.Pos, fmt.Sprintf("steps.%s.in.%s", s.ID, in.ID), &in.Link, s.takes(in), s)
+		}
+	}
+	for i := range p.Outputs {
+		o := &p.Outputs[i]
+		l.connect(o.Pos, "outputs."+o.ID+".outputSource", &o.Link, o.Type, nil)
+	}
+	b.sortSteps(p, l.after)
+}
+
+// takes is the type that a step's input has to be linked to; nil: any.
+func (s *Step) takes(in *StepIn) *Type {
+	if s.Run == nil || in.ValueFrom != "" {
+		return nil
+	}
+	x := s.Run.Input(in.ID)
+	if x == nil {
+		return nil
+	}
+	t := x.Type
+	if x.HasDefault || in.HasDefault {
+		t = optional(t)
+	}
+	if slices.Contains(s.Scatter, in.ID) {
+		t = &Type{Name: "array", Items: t}
+	}
+	return t
+}
+
+func optional(t *Type) *Type {
+	return &Type{Name: "union", Union: append([]*Type{{Name: "null"}}, t.options()...)}
+}
+
+// linker holds the links of a workflow's steps and outputs against what they can
+// be linked to, and notes which steps come after which.
+type linker struct {
+	*builder
+	p     *Process
+	steps map[string]*Step
+	after map[*Step][]*Step
+}
+
+// source is the type of what a link names, and the step that gives it, if one
+// does. The type is nil where there is no such thing.
+func (l *linker) source(name string) (*Type, *Step) {
+	parts := strings.Split(name, "/")
+	last := parts[len(parts)-1]
+	if in := l.p.Input(last); in != nil && (len(parts) == 1 || l.steps[parts[len(parts)-2]] == nil) {
+		return in.Type, nil
+	}
+	if len(parts) < 2 {
+		return nil, nil
+	}
+	s := l.steps[parts[len(parts)-2]]
+	if s == nil || !slices.Contains(s.Out, last) {
+		return nil, nil
+	}
+	t := &Type{Name: "Any"}
+	if s.Run != nil {
+		o := s.Run.Output(last)
+		if o == nil {
+			return nil, nil
+		}
+		t = o.Type
+	}
+	return s.gives(t), s
+}
+
+// gives is the type of a step's output, where what it runs gives this one.
+func (s *Step) gives(t *Type) *Type {
+	if s.When != "" {
+		t = optional(t)
+	}
+	depth := 0
+	if len(s.Scatter) > 0 {
+		depth = 1
+	}
+	if s.Method == "nested_crossproduct" {
+		depth = len(s.Scatter)
+	}
+	for range depth {
+		t = &Type{Name: "array", Items: t}
+	}
+	return t
+}
+
+// connect settles what a link names, checks it against the type that is to take it
+// (nil: any), and notes what the step that takes it has to wait for.
+func (l *linker) connect(at Pos, field string, link *Link, to *Type, s *Step) {
+	for i, src := range link.Source {
+		t, from := l.source(src)
+		if t == nil {
+			l.fail(at, field, "%q names no input of the workflow and no output of a step", src)
+			continue
+		}
+		parts := strings.Split(src, "/")
+		link.Source[i] = parts[len(parts)-1]
+		if from != nil {
+			link.Source[i] = from.ID + "/" + parts[len(parts)-1]
+			if s != nil {
+				l.after[s] = append(l.after[s], from)
+			}
+		}
+		if to != nil && link.plain() && !t.feeds(to) {
+			l.fail(at, field, "%s gives %s, which is not taken as %s", src, t, to)
+		}
+	}
+}
+
+// plain tells whether a link hands on the value of one source as it is.
+func (l *Link) plain() bool {
+	return l.Merge == "" && l.Pick == "" && len(l.Source) == 1 && !l.Listed
+}
+
+// sortSteps puts steps behind what they depend on; a circle is an error.
+func (b *builder) sortSteps(p *Process, after map[*Step][]*Step) {
+	state := map[*Step]int{}
+	var out []*Step
+	var path []string
+	var visit func(*Step) bool
+	visit = func(s *Step) bool {
+		switch state[s] {
+		case 2:
+			return true
+		case 1:
+			b.fail(s.Pos, "steps."+s.ID, "depends on itself: %s", strings.Join(append(path, s.ID), ", "))
+			return false
+		}
+		state[s] = 1
+		path = append(path, s.ID)
+		for _, d := range after[s] {
+			if !visit(d) {
+				return false
+			}
+		}
+		path = path[:len(path)-1]
+		state[s] = 2
+		out = append(out, s)
+		return true
+	}
+	for _, s := range p.Steps {
+		if !visit(s) {
+			return
+		}
+	}
+	p.Steps = out
+}
+
+// step builds a step of a workflow.
+func (b *builder) step(p *Process, e entry, name string) *Step {
+	at := "steps." + e.id
+	s := &Step{Pos: e.at, ID: e.id, Out: []string{}}
+	b.check(e.v, at, "step")
+	s.Req = b.requirements(e.v, p.Req)
+	s.Run = b.stepProcess(e, at, name, s.Req)
+	b.stepInputs(s, e, at)
+	b.stepOutputs(s, e, at)
+	b.checkGiven(s, at)
+	b.stepScatter(s, e, at)
+	if w := e.v.get("when"); w != nil {
+		s.When = scalarText(w.data)
+		b.expr(w, at+".when", s.Req)
+	}
+	return s
+}
+
+// stepProcess is what a step runs: written out, a part of the same file, or
+// another file.
+func (b *builder) stepProcess(e entry, at, name string, req Requirements) *Process {
+	r := e.v.get("run")
+	switch {
+	case r == nil:
+		b.fail(e.at, at+".run", "is missing")
+		return nil
+	case r.kind == object:
+		return b.processOf(r, fmt.Sprintf("%s/%s", name, e.id), req)
+	}
+	ref, _ := r.text()
+	file, part, _ := strings.Cut(ref, "#")
+	if x := b.graph[shortID(part)]; file == "" && x != nil {
+		base, _, _ := strings.Cut(name, "#")
+		return b.processOf(x, base+"#"+shortID(part), req)
+	}
+	if file == "" {
+		b.fail(r.Pos, at+".run", "%q names no process", ref)
+		return nil
+	}
+	full := b.name(r.File, file, r.Pos)
+	if full == "" {
+		return nil
+	}
+	if slices.Contains(b.running, full) || slices.Contains(b.running, full+"#"+part) {
+		b.fail(r.Pos, at+".run", "runs itself: %s", strings.Join(append(b.running, full), ", "))
+		return nil
+	}
+	p := b.process(full, part, r.Pos, b.running)
+	if p != nil {
+		inherit(p, req)
+	}
+	return p
+}
+
+func (b *builder) stepInputs(s *Step, e entry, at string) {
+	for _, x := range b.idMap(e.v.get("in"), at+".in", "id", "source") {
+		iat := at + ".in." + x.id
+		b.check(x.v, iat, "stepin")
+		in := StepIn{Pos: x.at, ID: x.id, Link: b.link(x.v, "source", iat), LoadContents: flag(x.v.get("loadContents"))}
+		if d := x.v.get("default"); d != nil {
+			in.Default, in.HasDefault = d.plain(), true
+		}
+		if f := x.v.get("valueFrom"); f != nil {
+			in.ValueFrom = scalarText(f.data)
+			b.expr(f, iat+".valueFrom", s.Req)
+		}
+		s.In = append(s.In, in)
+	}
+}
+
+func (b *builder) stepOutputs(s *Step, e entry, at string) {
+	for _, x := range b.idMap(e.v.get("out"), at+".out", "id", "") {
+		s.Out = append(s.Out, x.id)
+		if s.Run != nil && s.Run.Output(x.id) == nil {
+			b.fail(x.at, at+".out", "%q is no output of what the step runs", x.id)
+		}
+	}
+}
+
+// checkGiven holds a step's inputs against what the process that it runs needs.
+func (b *builder) checkGiven(s *Step, at string) {
+	if s.Run == nil {
+		return
+	}
+	for _, in := range s.Run.Inputs {
+		if in.HasDefault || in.Type.Optional() {
+			continue
+		}
+		if !s.has(in.ID) {
+			b.fail(s.Pos, at+".in", "the input %q of what the step runs gets no value", in.ID)
+		}
+	}
+}
+
+// has tells whether a step has an input of this name.
+func (s *Step) has(input string) bool {
+	return slices.ContainsFunc(s.In, func(in StepIn) bool { return in.ID == input })
+}
+
+func (b *builder) stepScatter(s *Step, e entry, at string) {
+	s.Scatter = texts(e.v.get("scatter"))
+	for i, x := range s.Scatter {
+		s.Scatter[i] = shortID(x)
+		if !s.has(s.Scatter[i]) {
+			b.fail(e.v.get("scatter").Pos, at+".scatter", "%q is no input of the step", x)
+		}
+	}
+	s.Method, _ = textOf(e.v.get("scatterMethod"))
+	if len(s.Scatter) == 1 {
+		s.Method = "dotproduct"
+	}
+	if len(s.Scatter) > 1 && !slices.Contains([]string{"dotproduct", "nested_crossproduct", "flat_crossproduct"}, s.Method) {
+		b.fail(e.at, at+".scatterMethod", "must be one of dotproduct, nested_crossproduct, flat_crossproduct")
+	}
+}
