--- a/cmd/grebedock/experiment.go
+++ b/cmd/grebedock/experiment.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -68,16 +69,7 @@
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
-	var todo []play
-	for _, seed := range e.Seeds {
-		for _, v := range e.Variants {
-			if !slices.ContainsFunc(have, func(r emulator.Result) bool {
-				return r.Experiment == e.Name && r.Variant == v.Name && r.Seed == seed
-			}) {
-				todo = append(todo, play{v, seed})
-			}
-		}
-	}
+	todo := unplayed(e, have)
 	f, err := os.OpenFile(out, os.O_RDWR|os.O_CREATE, 0o644)
 	if err != nil {
 		return err
@@ -88,31 +80,59 @@
 	}
 	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	terminal := isatty.IsTerminal(os.Stderr.Fd())
-	begin, total := time.Now(), len(todo)
+	b := batch{e: e, out: f, total: len(todo), begin: time.Now()}
+	if isatty.IsTerminal(os.Stderr.Fd()) {
+		b.terminal = cmd.ErrOrStderr()
+	}
+	b.play(ctx, todo, jobs)
+	fmt.Fprintf(cmd.OutOrStdout(), "%s: %d of %d runs played, %d were there; %.1f s\n", out, b.played, b.total, len(e.Seeds)*len(e.Variants)-b.total, time.Since(b.begin).Seconds())
+	switch {
+	case b.failed != nil:
+		return b.failed
+	case b.broken > 0:
+		return &codedError{fmt.Errorf("in %d runs a rule was broken; see broken and disorder in %s", b.broken, out), exitFailed}
+	case b.played < b.total:
+		return fmt.Errorf("stopped after %d of %d runs; the same command goes on", b.played, b.total)
+	}
+	return nil
+}
+
+// unplayed are the runs of an experiment that have no result yet.
+func unplayed(e *emulator.Experiment, have []emulator.Result) (todo []play) {
+	for _, seed := range e.Seeds {
+		for _, v := range e.Variants {
+			if !slices.ContainsFunc(have, func(r emulator.Result) bool {
+				return r.Experiment == e.Name && r.Variant == v.Name && r.Seed == seed
+			}) {
+				todo = append(todo, play{v, seed})
+			}
+		}
+	}
+	return todo
+}
+
+// batch plays runs of an experiment side by side, and writes each result as it
+// comes.
+type batch struct {
+	e        *emulator.Experiment
+	out      io.Writer
+	terminal io.Writer // shows how far it is; nil: nobody looks
+	total    int
+	begin    time.Time
+
+	mu             sync.Mutex
+	played, broken int
+	failed         error // the first write that failed
+}
+
+// play plays runs, so many at once, until all are played or ctx ends.
+func (b *batch) play(ctx context.Context, todo []play, jobs int) {
 	work := make(chan play)
-	var mu sync.Mutex
 	var wait sync.WaitGroup
-	var failed error
-	played, broken := 0, 0
-	for range max(1, min(jobs, total)) {
+	for range max(1, min(jobs, b.total)) {
 		wait.Go(func() {
 			for p := range work {
-				r := e.Run(p.v, p.seed)
-				line, err := json.Marshal(r)
-				mu.Lock()
-				if err == nil {
-					_, err = f.Write(append(line, '\n'))
-				}
-				failed = cmp.Or(failed, err)
-				played++
-				if len(r.Broken)+len(r.Disorder) > 0 {
-					broken++
-				}
-				if terminal {
-					fmt.Fprintf(cmd.ErrOrStderr(), "\r\x1b[K%d of %d runs, %.0f s", played, total, time.Since(begin).Seconds())
-				}
-				mu.Unlock()
+				b.add(b.e.Run(p.v, p.seed))
 			}
 		})
 	}
@@ -126,19 +146,27 @@
 	}
 	close(work)
 	wait.Wait()
-	if terminal {
-		fmt.Fprint(cmd.ErrOrStderr(), "\r\x1b[K")
+	if b.terminal != nil {
+		fmt.Fprint(b.terminal, "\r\x1b[K")
 	}
-	fmt.Fprintf(cmd.OutOrStdout(), "%s: %d of %d runs played, %d were there; %.1f s\n", out, played, total, len(e.Seeds)*len(e.Variants)-total, time.Since(begin).Seconds())
-	switch {
-	case failed != nil:
-		return failed
-	case broken > 0:
-		return &codedError{fmt.Errorf("in %d runs a rule was broken; see broken and disorder in %s", broken, out), exitFailed}
-	case played < total:
-		return fmt.Errorf("stopped after %d of %d runs; the same command goes on", played, total)
+}
+
+// add takes a run's result.
+func (b *batch) add(r emulator.Result) {
+	line, err := json.Marshal(r)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		_, err = b.out.Write(append(line, '\n'))
+	}
+	b.failed = cmp.Or(b.failed, err)
+	b.played++
+	if len(r.Broken)+len(r.Disorder) > 0 {
+		b.broken++
+	}
+	if b.terminal != nil {
+		fmt.Fprintf(b.terminal, "\r\x1b[K%d of %d runs, %.0f s", b.played, b.total, time.Since(b.begin).Seconds())
 	}
-	return nil
 }
 
 // endLine goes to the end of a file of lines, and ends the last if a kill cut it
@@ -242,62 +270,13 @@
 func figures(r *emulator.Result) []figure {
 	var out []figure
 	for i, c := range r.Classes {
-		add := func(name string, of func(*emulator.ClassResult) float64) {
-			out = append(out, figure{c.Class + ": " + name, func(r *emulator.Result) float64 {
-				if i >= len(r.Classes) {
-					return math.NaN()
-				}
-				return of(&r.Classes[i])
-			}})
-		}
-		add("in time", func(c *emulator.ClassResult) float64 { return c.InTime })
-		add("started within its aim", func(c *emulator.ClassResult) float64 { return c.Within })
-		add("wait p50, s", func(c *emulator.ClassResult) float64 { return c.WaitS.P50 })
-		add("wait p90, s", func(c *emulator.ClassResult) float64 { return c.WaitS.P90 })
-		add("done p90, s", func(c *emulator.ClassResult) float64 { return c.DoneS.P90 })
+		out = append(out, classFigures(i, c.Class)...)
 	}
 	for i, t := range r.Teams {
-		out = append(out, figure{"team " + t.Team + ": done", func(r *emulator.Result) float64 {
-			if i >= len(r.Teams) {
-				return math.NaN()
-			}
-			return float64(r.Teams[i].Done) / float64(max(1, r.Teams[i].Jobs))
-		}})
-		// In a run where none came within the guarantee, or the limit was never short,
-		// there is nothing to tell.
-		add := func(name string, count func(*emulator.TeamResult) int, of func(*emulator.TeamResult) float64) {
-			out = append(out, figure{"team " + t.Team + ": " + name, func(r *emulator.Result) float64 {
-				if i >= len(r.Teams) || count(&r.Teams[i]) == 0 {
-					return math.NaN()
-				}
-				return of(&r.Teams[i])
-			}})
-		}
-		guaranteed := func(t *emulator.TeamResult) int { return t.Guaranteed }
-		add("guaranteed work started in time", guaranteed, func(t *emulator.TeamResult) float64 { return t.Prompt })
-		add("wait of guaranteed work p90, s", guaranteed, func(t *emulator.TeamResult) float64 { return t.PromptWaitS.P90 })
-		add("s below its guarantee", guaranteed, func(t *emulator.TeamResult) float64 { return float64(t.BelowS) })
-		add("limit in use while it is short", func(t *emulator.TeamResult) int { return t.LimitUsedAmongS }, func(t *emulator.TeamResult) float64 { return t.LimitUsed })
+		out = append(out, teamFigures(i, t.Team)...)
 	}
 	if r.Rollout != nil {
-		plan := func(of func(*emulator.RolloutResult) float64) func(*emulator.Result) float64 {
-			return func(r *emulator.Result) float64 {
-				if r.Rollout == nil {
-					return math.NaN()
-				}
-				return of(r.Rollout)
-			}
-		}
-		out = append(out,
-			figure{"plan: took, s", plan(func(p *emulator.RolloutResult) float64 { return p.TookS })},
-			figure{"plan: tasks stopped", plan(func(p *emulator.RolloutResult) float64 { return float64(p.Stopped) })},
-			figure{"plan: most down of a team", plan(func(p *emulator.RolloutResult) float64 {
-				most := 0
-				for _, n := range p.Down {
-					most = max(most, n)
-				}
-				return float64(most)
-			})})
+		out = append(out, rolloutFigures()...)
 	}
 	return append(out,
 		figure{"tasks started again", func(r *emulator.Result) float64 { return float64(r.Again) }},
@@ -311,6 +290,75 @@
 		figure{"rules broken", func(r *emulator.Result) float64 { return float64(len(r.Broken) + len(r.Disorder)) }})
 }
 
+// classFigures are the figures of a class of jobs, by its place.
+func classFigures(i int, class string) []figure {
+	var out []figure
+	add := func(name string, of func(*emulator.ClassResult) float64) {
+		out = append(out, figure{class + ": " + name, func(r *emulator.Result) float64 {
+			if i >= len(r.Classes) {
+				return math.NaN()
+			}
+			return of(&r.Classes[i])
+		}})
+	}
+	add("in time", func(c *emulator.ClassResult) float64 { return c.InTime })
+	add("started within its aim", func(c *emulator.ClassResult) float64 { return c.Within })
+	add("wait p50, s", func(c *emulator.ClassResult) float64 { return c.WaitS.P50 })
+	add("wait p90, s", func(c *emulator.ClassResult) float64 { return c.WaitS.P90 })
+	add("done p90, s", func(c *emulator.ClassResult) float64 { return c.DoneS.P90 })
+	return out
+}
+
+// teamFigures are the figures of a team, by its place.
+func teamFigures(i int, team string) []figure {
+	var out []figure
+	out = append(out, figure{"team " + team + ": done", func(r *emulator.Result) float64 {
+		if i >= len(r.Teams) {
+			return math.NaN()
+		}
+		return float64(r.Teams[i].Done) / float64(max(1, r.Teams[i].Jobs))
+	}})
+	// In a run where none came within the guarantee, or the limit was never short,
+	// there is nothing to tell.
+	add := func(name string, count func(*emulator.TeamResult) int, of func(*emulator.TeamResult) float64) {
+		out = append(out, figure{"team " + team + ": " + name, func(r *emulator.Result) float64 {
+			if i >= len(r.Teams) || count(&r.Teams[i]) == 0 {
+				return math.NaN()
+			}
+			return of(&r.Teams[i])
+		}})
+	}
+	guaranteed := func(t *emulator.TeamResult) int { return t.Guaranteed }
+	add("guaranteed work started in time", guaranteed, func(t *emulator.TeamResult) float64 { return t.Prompt })
+	add("wait of guaranteed work p90, s", guaranteed, func(t *emulator.TeamResult) float64 { return t.PromptWaitS.P90 })
+	add("s below its guarantee", guaranteed, func(t *emulator.TeamResult) float64 { return float64(t.BelowS) })
+	add("limit in use while it is short", func(t *emulator.TeamResult) int { return t.LimitUsedAmongS }, func(t *emulator.TeamResult) float64 { return t.LimitUsed })
+	return out
+}
+
+// rolloutFigures are the figures of a plan.
+func rolloutFigures() []figure {
+	plan := func(of func(*emulator.RolloutResult) float64) func(*emulator.Result) float64 {
+		return func(r *emulator.Result) float64 {
+			if r.Rollout == nil {
+				return math.NaN()
+			}
+			return of(r.Rollout)
+		}
+	}
+	return []figure{
+		{"plan: took, s", plan(func(p *emulator.RolloutResult) float64 { return p.TookS })},
+		{"plan: tasks stopped", plan(func(p *emulator.RolloutResult) float64 { return float64(p.Stopped) })},
+		{"plan: most down of a team", plan(func(p *emulator.RolloutResult) float64 {
+			most := 0
+			for _, n := range p.Down {
+				most = max(most, n)
+			}
+			return float64(most)
+		})},
+	}
+}
+
 // estimate is a mean over seeds and the half-width of its confidence interval.
 type estimate struct {
 	mean, half float64
--- a/cmd/grebedock/rollout.go
+++ b/cmd/grebedock/rollout.go
@@ -12,10 +12,10 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/grebedock/grebedock/strict"
 	"github.com/grebedock/grebedock/internal/wire"
 	"github.com/grebedock/grebedock/rollout"
 	"github.com/grebedock/grebedock/scheduler"
+	"github.com/grebedock/grebedock/strict"
 )
 
 func rolloutCommand() *cobra.Command {
@@ -26,62 +26,78 @@
 		Example: "  grebedock rollout apply --addr 10.0.0.1:8081 plan.toml\n  grebedock rollout status --addr 10.0.0.1:8081\n" +
 			"  grebedock rollout pause --addr 10.0.0.1:8081",
 	}
-	show := func(o *operators, cmd *cobra.Command, r wire.Request) error {
-		var st scheduler.RolloutStatus
-		if err := o.do(r, &st); err != nil {
-			return err
-		}
-		if o.json {
-			return json.NewEncoder(cmd.OutOrStdout()).Encode(&st)
-		}
-		return printRollout(cmd.OutOrStdout(), &st)
+	cmd.AddCommand(applyRollout())
+	for _, c := range []struct{ name, short, method, path string }{
+		{"status", "Show how the plan stands", "GET", "/v1/rollout"},
+		{"pause", "Empty, stop and rent nothing more until it is resumed", "POST", "/v1/rollout/pause"},
+		{"resume", "Go on with a plan that was paused, by a gate or an operator", "POST", "/v1/rollout/resume"},
+		{"abort", "End the plan: its machines take work again", "POST", "/v1/rollout/abort"},
+	} {
+		var o operators
+		cmd.AddCommand(o.flags(&cobra.Command{Use: c.name, Short: c.short, Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				return showRollout(&o, cmd, wire.Request{Method: c.method, Path: c.path})
+			}}))
+	}
+	return cmd
+}
+
+// showRollout asks the administration API, and prints how the plan stands.
+func showRollout(o *operators, cmd *cobra.Command, r wire.Request) error {
+	var st scheduler.RolloutStatus
+	if err := o.do(r, &st); err != nil {
+		return err
+	}
+	if o.json {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(&st)
+	}
+	return printRollout(cmd.OutOrStdout(), &st)
+}
+
+// readPlan reads and checks a plan's file.
+func readPlan(name string) (*rollout.Plan, error) {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return nil, &codedError{err, exitBad}
+	}
+	var p rollout.Plan
+	if err := strict.Decode(b, &p); err != nil {
+		return nil, &codedError{fmt.Errorf("%s: %w", name, err), exitBad}
 	}
-	var apply operators
+	if why := p.Check(); why != "" {
+		return nil, &codedError{fmt.Errorf("%s: %s", name, why), exitBad}
+	}
+	return &p, nil
+}
+
+func applyRollout() *cobra.Command {
+	var o operators
 	var preview bool
-	cmd.AddCommand(apply.flags(&cobra.Command{
+	cmd := o.flags(&cobra.Command{
 		Use: "apply FILE.toml", Short: "Begin a plan; another one must be over", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			b, err := os.ReadFile(args[0])
+			p, err := readPlan(args[0])
 			if err != nil {
-				return &codedError{err, exitBad}
-			}
-			var p rollout.Plan
-			if err := strict.Decode(b, &p); err != nil {
-				return &codedError{fmt.Errorf("%s: %w", args[0], err), exitBad}
-			}
-			if why := p.Check(); why != "" {
-				return &codedError{fmt.Errorf("%s: %s", args[0], why), exitBad}
+				return err
 			}
-			body, err := json.Marshal(&p)
+			body, err := json.Marshal(p)
 			if err != nil {
 				return err
 			}
 			if !preview {
-				return show(&apply, cmd, wire.Request{Method: "PUT", Path: "/v1/rollout", Body: body})
+				return showRollout(&o, cmd, wire.Request{Method: "PUT", Path: "/v1/rollout", Body: body})
 			}
 			var v scheduler.RolloutPreview
-			if err := apply.do(wire.Request{Method: "PUT", Path: "/v1/rollout?preview=true", Body: body}, &v); err != nil {
+			if err := o.do(wire.Request{Method: "PUT", Path: "/v1/rollout?preview=true", Body: body}, &v); err != nil {
 				return err
 			}
-			if apply.json {
+			if o.json {
 				return json.NewEncoder(cmd.OutOrStdout()).Encode(&v)
 			}
-			return printPreview(cmd.OutOrStdout(), &p, &v)
+			return printPreview(cmd.OutOrStdout(), p, &v)
 		},
-	}))
-	cmd.Commands()[0].Flags().BoolVar(&preview, "preview", false, "say what the plan would do, and do nothing")
-	for _, c := range []struct{ name, short, method, path string }{
-		{"status", "Show how the plan stands", "GET", "/v1/rollout"},
-		{"pause", "Empty, stop and rent nothing more until it is resumed", "POST", "/v1/rollout/pause"},
-		{"resume", "Go on with a plan that was paused, by a gate or an operator", "POST", "/v1/rollout/resume"},
-		{"abort", "End the plan: its machines take work again", "POST", "/v1/rollout/abort"},
-	} {
-		var o operators
-		cmd.AddCommand(o.flags(&cobra.Command{Use: c.name, Short: c.short, Args: cobra.NoArgs,
-			RunE: func(cmd *cobra.Command, _ []string) error {
-				return show(&o, cmd, wire.Request{Method: c.method, Path: c.path})
-			}}))
-	}
+	})
+	cmd.Flags().BoolVar(&preview, "preview", false, "say what the plan would do, and do nothing")
 	return cmd
 }
 
--- a/cmd/grebedock/schedule.go
+++ b/cmd/grebedock/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -211,73 +212,92 @@
 }
 
 func previewSchedules() *cobra.Command {
-	var from, to, only string
-	var moved, asJSON bool
+	var p preview
 	cmd := &cobra.Command{
 		Use:   "preview FILE",
 		Short: "Show when schedules are due, with each moved or dropped date and its reason",
 		Example: "  grebedock schedule preview --from 2027-01-01 --to 2028-01-01 docs/examples/schedules/provinces.toml\n" +
 			"  grebedock schedule preview --moved --name month-end-reads docs/examples/schedules/provinces.toml",
 		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			f, err := readSchedules(args[0])
-			if err != nil {
-				return err
-			}
-			a, err := recurrence.ParseDate(from)
-			if err != nil {
-				return &codedError{fmt.Errorf("--from: %w", err), exitBad}
-			}
-			b := a.Add(365)
-			if to != "" {
-				if b, err = recurrence.ParseDate(to); err != nil {
-					return &codedError{fmt.Errorf("--to: %w", err), exitBad}
-				}
-			}
-			out := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
-			enc := json.NewEncoder(cmd.OutOrStdout())
-			found := only == ""
-			for _, s := range f.Schedules {
-				if only != "" && s.Name != only {
-					continue
-				}
-				found = true
-				ms, err := s.Between(s.Midnight(a), s.Midnight(b))
-				if err != nil {
-					return fmt.Errorf("%s: %w", s.Name, err)
-				}
-				for _, m := range ms {
-					if moved && m.Why == "" {
-						continue
-					}
-					x := shown{Schedule: s.Name, Day: m.Date.String(), Fell: m.Fell, Why: m.Why}
-					if !m.Fell {
-						x.At, x.Clock = m.At.Format(time.RFC3339), m.Clock.String()
-					}
-					if asJSON {
-						if err := enc.Encode(x); err != nil {
-							return err
-						}
-						continue
-					}
-					when := x.At
-					if m.Fell {
-						when = x.Day + " falls out"
-					}
-					fmt.Fprintf(out, "%s\t%s\t%s\t%s\n", s.Name, when, m.Date.Weekday().String()[:3], m.Why)
-				}
-			}
-			if !found {
-				return &codedError{fmt.Errorf("--name: %s has no schedule %q", args[0], only), exitBad}
-			}
-			return out.Flush()
-		},
+		RunE: func(cmd *cobra.Command, args []string) error { return p.run(cmd.OutOrStdout(), args[0]) },
 	}
 	fl := cmd.Flags()
-	fl.StringVar(&from, "from", recurrence.DateOf(time.Now()).String(), "first day, YYYY-MM-DD")
-	fl.StringVar(&to, "to", "", "day after the last; default: a year later")
-	fl.StringVar(&only, "name", "", "one schedule alone")
-	fl.BoolVar(&moved, "moved", false, "only what moved or fell out")
-	fl.BoolVar(&asJSON, "json", false, "one JSON object a line")
+	fl.StringVar(&p.from, "from", recurrence.DateOf(time.Now()).String(), "first day, YYYY-MM-DD")
+	fl.StringVar(&p.to, "to", "", "day after the last; default: a year later")
+	fl.StringVar(&p.only, "name", "", "one schedule alone")
+	fl.BoolVar(&p.moved, "moved", false, "only what moved or fell out")
+	fl.BoolVar(&p.json, "json", false, "one JSON object a line")
 	return cmd
 }
+
+// preview is what to show of the moments of schedules.
+type preview struct {
+	from, to, only string
+	moved, json    bool
+}
+
+func (p *preview) run(w io.Writer, file string) error {
+	f, err := readSchedules(file)
+	if err != nil {
+		return err
+	}
+	from, to, err := p.days()
+	if err != nil {
+		return err
+	}
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	found := p.only == ""
+	for _, s := range f.Schedules {
+		if p.only != "" && s.Name != p.only {
+			continue
+		}
+		found = true
+		ms, err := s.Between(s.Midnight(from), s.Midnight(to))
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.Name, err)
+		}
+		for _, m := range ms {
+			if p.moved && m.Why == "" {
+				continue
+			}
+			if err := p.show(w, out, s.Name, m); err != nil {
+				return err
+			}
+		}
+	}
+	if !found {
+		return &codedError{fmt.Errorf("--name: %s has no schedule %q", file, p.only), exitBad}
+	}
+	return out.Flush()
+}
+
+// days are the first day and the one after the last.
+func (p *preview) days() (from, to recurrence.Date, err error) {
+	if from, err = recurrence.ParseDate(p.from); err != nil {
+		return from, to, &codedError{fmt.Errorf("--from: %w", err), exitBad}
+	}
+	if p.to == "" {
+		return from, from.Add(365), nil
+	}
+	if to, err = recurrence.ParseDate(p.to); err != nil {
+		return from, to, &codedError{fmt.Errorf("--to: %w", err), exitBad}
+	}
+	return from, to, nil
+}
+
+// show writes a moment: to w as JSON, or to the table.
+func (p *preview) show(w io.Writer, table *tabwriter.Writer, schedule string, m recurrence.Moment) error {
+	x := shown{Schedule: schedule, Day: m.Date.String(), Fell: m.Fell, Why: m.Why}
+	if !m.Fell {
+		x.At, x.Clock = m.At.Format(time.RFC3339), m.Clock.String()
+	}
+	if p.json {
+		return json.NewEncoder(w).Encode(x)
+	}
+	when := x.At
+	if m.Fell {
+		when = x.Day + " falls out"
+	}
+	fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", schedule, when, m.Date.Weekday().String()[:3], m.Why)
+	return nil
+}
--- a/cwl/command.go
+++ b/cwl/command.go
@@ -38,6 +38,34 @@
 func (p *Process) CommandLine(in, runtime map[string]any) (*Command, error) {
 	sc := Scope{Inputs: in, Runtime: runtime}
 	c := &Command{Shell: p.Req.Shell}
+	words, err := p.words(in, sc)
+	if err != nil {
+		return nil, err
+	}
+	c.Args = p.joined(words)
+	if err := p.redirect(c, sc); err != nil {
+		return nil, err
+	}
+	for _, e := range p.Req.Env {
+		s, err := EvalText(e.Value, sc, p.Req)
+		if err != nil {
+			return nil, fmt.Errorf("EnvVarRequirement.%s: %w", e.Name, err)
+		}
+		c.Env = append(c.Env, EnvVar{e.Name, s})
+	}
+	if p.Req.TimeLimit != nil {
+		s, err := Number(p.Req.TimeLimit, sc, p.Req)
+		if err != nil || s < 0 {
+			return nil, fmt.Errorf("ToolTimeLimit: %v is no time", p.Req.TimeLimit)
+		}
+		c.TimeLimitS = s
+	}
+	c.Files, err = p.staged(sc)
+	return c, err
+}
+
+// words are the parts of a command line behind the base command, in order.
+func (p *Process) words(in map[string]any, sc Scope) ([]word, error) {
 	var words []word
 	for i, a := range p.Arguments {
 		pos, err := position(&a, sc, p.Req)
@@ -60,21 +88,33 @@
 		words = append(words, ws...)
 	}
 	slices.SortStableFunc(words, func(a, b word) int { return compareKeys(a.key, b.key) })
-	c.Args = slices.Clone(p.BaseCommand)
+	return words, nil
+}
+
+// joined is the command line of the base command and these words: for a shell
+// one text, in which all is quoted that is not to be left as it is.
+func (p *Process) joined(words []word) []string {
+	args := slices.Clone(p.BaseCommand)
+	shell := p.Req.Shell
 	for _, w := range words {
 		for _, t := range w.text {
-			if c.Shell && !w.raw {
+			if shell && !w.raw {
 				t = Quote(t)
 			}
-			c.Args = append(c.Args, t)
+			args = append(args, t)
 		}
 	}
-	if c.Shell {
-		for i, b := range p.BaseCommand {
-			c.Args[i] = Quote(b)
-		}
-		c.Args = []string{strings.Join(c.Args, " ")}
+	if !shell {
+		return args
+	}
+	for i, b := range p.BaseCommand {
+		args[i] = Quote(b)
 	}
+	return []string{strings.Join(args, " ")}
+}
+
+// redirect works out which files stand for a command's standard streams.
+func (p *Process) redirect(c *Command, sc Scope) error {
 	for _, f := range []struct {
 		from string
 		to   *string
@@ -84,27 +124,11 @@
 		}
 		s, err := EvalText(f.from, sc, p.Req)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		*f.to = s
 	}
-	for _, e := range p.Req.Env {
-		s, err := EvalText(e.Value, sc, p.Req)
-		if err != nil {
-			return nil, fmt.Errorf("EnvVarRequirement.%s: %w", e.Name, err)
-		}
-		c.Env = append(c.Env, EnvVar{e.Name, s})
-	}
-	if p.Req.TimeLimit != nil {
-		s, err := Number(p.Req.TimeLimit, sc, p.Req)
-		if err != nil || s < 0 {
-			return nil, fmt.Errorf("ToolTimeLimit: %v is no time", p.Req.TimeLimit)
-		}
-		c.TimeLimitS = s
-	}
-	var err error
-	c.Files, err = p.staged(sc)
-	return c, err
+	return nil
 }
 
 func compareKeys(a, b []any) int {
--- a/cwl/types.go
+++ b/cwl/types.go
@@ -138,23 +138,34 @@
 	if s, ok := v.text(); ok {
 		return b.namedType(v, at, s, defs)
 	}
-	if v.kind == array {
-		u := &Type{Name: "union"}
-		for _, x := range v.items {
-			u.Union = append(u.Union, b.parseType(x, at, defs).options()...)
-		}
-		if len(u.Union) == 1 {
-			return u.Union[0]
-		}
-		if len(u.Union) == 0 {
-			b.fail(v.Pos, at, "names no type")
-		}
-		return u
+	switch v.kind {
+	case array:
+		return b.unionType(v, at, defs)
+	case object:
+		return b.objectType(v, at, defs)
 	}
-	if v.kind != object {
-		b.fail(v.Pos, at, "must name a type")
-		return bad
+	b.fail(v.Pos, at, "must name a type")
+	return bad
+}
+
+// unionType reads a list of types.
+func (b *builder) unionType(v *value, at string, defs map[string]*Type) *Type {
+	u := &Type{Name: "union"}
+	for _, x := range v.items {
+		u.Union = append(u.Union, b.parseType(x, at, defs).options()...)
+	}
+	if len(u.Union) == 1 {
+		return u.Union[0]
+	}
+	if len(u.Union) == 0 {
+		b.fail(v.Pos, at, "names no type")
 	}
+	return u
+}
+
+// objectType reads a type that is written out.
+func (b *builder) objectType(v *value, at string, defs map[string]*Type) *Type {
+	bad := &Type{Name: "Any"}
 	name, _ := textOf(v.get("type"))
 	var bind *Binding
 	if x := v.get("inputBinding"); x != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -205,11 +206,30 @@
 		}
 		seen[o.Member] = true
 	}
-	cl := &f.Cluster
+	f.Cluster.check(c)
+	if len(c.bad) == 0 {
+		return nil
+	}
+	return errors.New("settings: " + strings.Join(c.bad, "; "))
+}
+
+// check says what is wrong with what all members share.
+func (cl *Cluster) check(c *checker) {
 	if len(cl.Zones) == 0 || slices.Contains(cl.Zones, "") {
 		c.fail("cluster.zones is missing or has an empty name")
 	}
 	c.notNegative("cluster.clock_error_ms", cl.ClockErrorMS)
+	cl.checkTeams(c)
+	for i, o := range cl.Objectives {
+		at := fmt.Sprintf("cluster.objectives[%d]", i)
+		c.text(at+".kind", o.Kind)
+		c.notNegative(at+".within_s", o.WithinS)
+		c.notNegative(at+".times", o.Times)
+	}
+	cl.checkRates(c)
+}
+
+func (cl *Cluster) checkTeams(c *checker) {
 	teams := map[string]bool{}
 	for i, t := range cl.Teams {
 		at := fmt.Sprintf("cluster.teams[%d]", i)
@@ -229,12 +249,10 @@
 			c.fail("%s.gpus is above gpus_max", at)
 		}
 	}
-	for i, o := range cl.Objectives {
-		at := fmt.Sprintf("cluster.objectives[%d]", i)
-		c.text(at+".kind", o.Kind)
-		c.notNegative(at+".within_s", o.WithinS)
-		c.notNegative(at+".times", o.Times)
-	}
+}
+
+// checkRates checks the bounds of workers, services and the member's machine.
+func (cl *Cluster) checkRates(c *checker) {
 	c.positive("cluster.workers.report_s", cl.Workers.ReportS)
 	c.positive("cluster.workers.lease_s", cl.Workers.LeaseS)
 	c.positive("cluster.workers.cancel_s", cl.Workers.CancelS)
@@ -255,12 +273,4 @@
 	if cl.Limits.MaxSockets < 1 {
 		c.fail("cluster.machine_limits.max_sockets must be at least 1")
 	}
-	if len(c.bad) == 0 {
-		return nil
-	}
-	msg := "settings: " + c.bad[0]
-	for _, b := range c.bad[1:] {
-		msg += "; " + b
-	}
-	return errors.New(msg)
 }
--- a/internal/mesh/admin.go
+++ b/internal/mesh/admin.go
@@ -43,6 +43,12 @@
 		}
 		return c.JSON(s)
 	})
+	serveRollout(app, core)
+	serveMetrics(app, core)
+}
+
+// serveRollout serves plans that drain or replace machines.
+func serveRollout(app *fiber.App, core Admin) {
 	status := func(c *fiber.Ctx) error {
 		st := core.Rollout()
 		if st == nil {
@@ -76,6 +82,10 @@
 			return status(c)
 		})
 	}
+}
+
+// serveMetrics serves the metrics of the core and of the process.
+func serveMetrics(app *fiber.App, core Admin) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(&collector{core})
 	registry.MustRegister(core.Collectors()...)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,6 +84,21 @@
 func Run(ctx context.Context, f *config.File, set features.Set, log *slog.Logger) error {
 	n := &Node{f: f, log: log, start: time.Now(), health: newHealth(f.Cluster.Limits.Heap()), lanes: newLanes(), ended: ctx.Done(),
 		users: map[uint64]chan scheduler.UserAnswer{}, workers: map[uint64]chan scheduler.WorkerAnswer{}}
+	p := n.coreParams(set)
+	n.core = scheduler.New(p, rand.Uint64(), n.now())
+	if set.Workflows.On {
+		n.workflows = newWorkflowRunner(n, f, set.Workflows.Data)
+	}
+	if set.Schedules.On {
+		n.schedules = newScheduleRunner(n, f)
+	}
+	n.connect(ctx, p.Relays)
+	return n.serve(ctx, set)
+}
+
+// coreParams is what the core needs of the settings and switches.
+func (n *Node) coreParams(set features.Set) scheduler.Params {
+	f := n.f
 	p := Params(f)
 	if set.Relay.On {
 		p.Relays = mesh.Relays(f.Cluster.Limits.MaxSockets)
@@ -94,14 +109,13 @@
 	p.Recovery = set.Recovery.On
 	p.Quota = set.Quota.On
 	p.Rollout = set.Rollout.On
-	p.Debug = log.Enabled(ctx, slog.LevelDebug)
-	n.core = scheduler.New(p, rand.Uint64(), n.now())
-	if set.Workflows.On {
-		n.workflows = newWorkflowRunner(n, f, set.Workflows.Data)
-	}
-	if set.Schedules.On {
-		n.schedules = newScheduleRunner(n, f)
-	}
+	p.Debug = n.log.Enabled(context.Background(), slog.LevelDebug)
+	return p
+}
+
+// connect makes the clients of all that the member asks.
+func (n *Node) connect(ctx context.Context, relays int) {
+	f := n.f
 	n.store = store.New(ctx, f, func(id uint64, r scheduler.StoreResult) {
 		switch {
 		case id&workflowRequests != 0:
@@ -116,9 +130,13 @@
 	n.cloud = cloud.New(ctx, f, func(id uint64, r scheduler.CloudResult) {
 		n.put(func(now scheduler.Now) { n.core.CloudDone(now, id, r) })
 	})
-	n.peers = mesh.NewPeers(f.Others, p.Relays)
+	n.peers = mesh.NewPeers(f.Others, relays)
 	n.workersHTTP = rest.NewMany(2)
+}
 
+// serve listens and runs the loops until ctx ends or a listener fails.
+func (n *Node) serve(ctx context.Context, set features.Set) error {
+	f := n.f
 	frontSock, err := listen(f.Front)
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
@@ -146,7 +164,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- frontApp.Listener(frontLn) }()
 	go func() { failed <- meshApp.Listener(meshLn) }()
-	log.Info("controller started", "member", f.Member, "zone", f.Zone, "front", f.Front, "mesh", f.MeshAddr, "on", set.On())
+	n.log.Info("controller started", "member", f.Member, "zone", f.Zone, "front", f.Front, "mesh", f.MeshAddr, "on", set.On())
 	go n.loop(ctx)
 	if n.workflows != nil {
 		go n.workflows.loop(ctx)
--- a/workflow/run.go
+++ b/workflow/run.go
@@ -266,32 +266,13 @@
 			r.fail(path, fmt.Errorf("its expressions take longer than %v", stepTime))
 			return
 		}
-		given, run, err := s.Finish(given)
-		if err == nil && !run {
-			st.left--
-			continue
-		}
-		if err == nil {
-			given, err = s.Run.ForRun(given)
-		}
+		sub, err := call.add(i, where, given)
 		if err != nil {
 			r.fail(where, err)
 			return
 		}
-		switch s.Run.Class {
-		case cwl.Tool:
-			call.Inputs = append(call.Inputs, given)
-			call.slots = append(call.slots, i)
-		case cwl.Expression:
-			out, err := s.Run.RunExpression(given)
-			if err != nil {
-				r.fail(where, err)
-				return
-			}
-			st.values[i] = out
-			st.left--
-		case cwl.Flow:
-			frames = append(frames, &frame{p: s.Run, path: where, in: given, steps: map[string]*stepState{}, left: len(s.Run.Steps), parent: st, slot: i})
+		if sub != nil {
+			frames = append(frames, sub)
 		}
 	}
 	st.scatter.Inputs = nil
@@ -307,6 +288,40 @@
 	r.settle(st)
 }
 
+// add takes one set of a step's inputs: into the call of a tool, as the value of
+// an expression, or as the frame of a workflow, which is returned. A step whose
+// condition does not hold is not run.
+func (c *Call) add(slot int, path string, given map[string]any) (*frame, error) {
+	st := c.state
+	s := st.step
+	given, run, err := s.Finish(given)
+	if err != nil {
+		return nil, err
+	}
+	if !run {
+		st.left--
+		return nil, nil
+	}
+	if given, err = s.Run.ForRun(given); err != nil {
+		return nil, err
+	}
+	switch s.Run.Class {
+	case cwl.Tool:
+		c.Inputs = append(c.Inputs, given)
+		c.slots = append(c.slots, slot)
+	case cwl.Expression:
+		out, err := s.Run.RunExpression(given)
+		if err != nil {
+			return nil, err
+		}
+		st.values[slot] = out
+		st.left--
+	case cwl.Flow:
+		return &frame{p: s.Run, path: path, in: given, steps: map[string]*stepState{}, left: len(s.Run.Steps), parent: st, slot: slot}, nil
+	}
+	return nil, nil
+}
+
 // settle ends a step that has all its values, and goes on with its frame.
 func (r *Run) settle(st *stepState) {
 	if st.left > 0 || st.over || r.over {
