docs/packages.md: a picture of the packages, made from the imports

Cause: nothing showed which package imports which; the layout table is kept by hand. The order of an import in emulator/experiment.go is mended.

--- a/emulator/experiment.go
+++ b/emulator/experiment.go
@@ -15,9 +15,9 @@
 	"github.com/grebedock/grebedock/disruption"
 	"github.com/grebedock/grebedock/internal/history"
 	"github.com/grebedock/grebedock/internal/standin"
-	"github.com/grebedock/grebedock/strict"
 	"github.com/grebedock/grebedock/rollout"
 	"github.com/grebedock/grebedock/scheduler"
+	"github.com/grebedock/grebedock/strict"
 )
 
 // Experiment is a file that says what to play: a platform, its load, what fails
--- /dev/null
+++ b/scripts/packages/main.go
@@ -0,0 +1,30 @@
+// Command packages writes docs/packages.md: which packages import which, as a
+// picture and a table (package internal/packagegraph). It is run at the root.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/grebedock/grebedock/internal/packagegraph"
+)
+
+const (
+	module = "github.com/grebedock/grebedock"
+	page   = "docs/packages.md"
+)
+
+func main() {
+	if err := write(); err != nil {
+		fmt.Fprintln(os.Stderr, "packages:", err)
+		os.Exit(1)
+	}
+}
+
+func write() error {
+	g, err := packagegraph.Read(os.DirFS("."), module)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(page, []byte(g.Markdown()), 0o644)
+}
