--- a/emulator/world.go
+++ b/emulator/world.go
@@ -53,6 +53,8 @@
 	Params  func(*scheduler.Params)
 	Submit  func(*scheduler.Job)        // what the cores are told of a job
 	Answers func(*scheduler.UserAnswer) // answers to users
+	// Told changes the answers to users by what they asked.
+	Told func(scheduler.UserRequest, *scheduler.UserAnswer)
 }
 
 // Member is a member's place in the world, and its core while it runs.
@@ -90,6 +92,7 @@
 	lastAt   int64
 	again    bool  // the last report had no answer that counts
 	deafTill int64 // it hears nothing
+	muteTill int64 // it can open no connection to a member
 	// Direct commands to it, and their answers, are held up.
 	commandsTill, answersTill int64
 	pause                     int64 // until the next report if nothing changes
@@ -114,9 +117,10 @@
 
 	toldAt int64 // when its user was told its final state
 	// When its user last had an answer about it.
-	answeredAt int64
-	within     bool // it came within its team's guarantee
-	starts     map[string]int64
+	answeredAt   int64
+	longestRunMS int64 // of its tasks' run times, of those that ran
+	within       bool  // it came within its team's guarantee
+	starts       map[string]int64
 }
 
 // NewJob returns a job that nobody has submitted yet.
@@ -239,12 +243,27 @@
 	// Late counts changes that were carried out late, by their keys' prefix, Copies
 	// reports that arrived once more.
 	Late, Copies map[string]int
+	// LostAnswerCount counts transactions that were carried out and whose answer was lost.
+	LostAnswerCount int
+	// CancelledStarts counts tasks that started after their users were told that they
+	// are cancelled.
+	CancelledStarts int
+	// Looks counts how often users asked at all members at once.
+	Looks int
 	// LateIf tells which further transactions are carried out late.
 	LateIf func(*Member, scheduler.StoreOp) bool
 
 	o           Options
 	lateWrites  share
 	lateReports share
+	lostAnswers share // of transactions that are carried out at once
+	nextReports share // of reports of which a copy is kept for the next claim
+	keptReports []keptReport
+	lateOrders  share // of direct commands
+	endCancels  share // of jobs that are cancelled as they end
+	closeLooks  int64 // until when users ask at all members at once
+	oddRequests int64 // until when users send what makes no sense
+	oddJobs     int   // how many such jobs were sent
 	slowBy      int64
 	slowTill    int64
 	calmSince   int64 // when the last trouble was over
@@ -500,6 +519,11 @@
 				w.watches = append(w.watches, parked{op, w.Now + op.MS, m.Name, back})
 				return
 			}
+			w.noteClaim(op, r)
+			if op.Kind == scheduler.StoreTxn && w.lostAnswers.draws(w) {
+				w.LostAnswerCount++
+				return
+			}
 			back(r)
 		})
 		w.After(limit, m.live(epoch, func() { m.Core.StoreDone(m.Clock(), op.ID, scheduler.StoreResult{Outcome: scheduler.Unknown}) }))
@@ -526,7 +550,11 @@
 		if h == nil {
 			continue
 		}
-		w.hop(m.Name, "w"+d.Machine, func() { w.until(h.commandsTill, func() { w.runDo(m, epoch, h, d) }) })
+		if len(d.Commands) > 0 && w.lateOrders.draws(w) {
+			w.runLate(h, d)
+		} else {
+			w.hop(m.Name, "w"+d.Machine, func() { w.until(h.commandsTill, func() { w.runDo(m, epoch, h, d) }) })
+		}
 		w.After(simTimeout, m.live(epoch, func() { m.Core.DoDone(m.Clock(), d.ID, scheduler.DoResult{Outcome: scheduler.Unknown}) }))
 	}
 	for _, r := range o.Relays {
@@ -643,7 +671,10 @@
 				return nil
 			},
 			RunMS: func(task string) int64 {
-				return w.o.RunMS(w, w.Jobs[task[:strings.IndexByte(task, '/')]], task) * int64(1000*speed) / 1000
+				j := w.Jobs[task[:strings.IndexByte(task, '/')]]
+				ms := w.o.RunMS(w, j, task)
+				j.longestRunMS = max(j.longestRunMS, ms)
+				return ms * int64(1000*speed) / 1000
 			},
 			MatesMS: w.o.MatesMS,
 			Started: func(_ *standin.Worker, t *standin.Task) { w.onStart(h, t) },
@@ -665,6 +696,7 @@
 				}
 				if j.Done[t.Name] = true; len(j.Done) == j.Job.Tasks && j.Ended == 0 {
 					j.Ended = w.Now
+					w.endedJob(j)
 				}
 			},
 			Execute: func(t *standin.Task) standin.Execution {
@@ -749,7 +781,14 @@
 		h.nextAt, h.again = w.Now+1000, true
 	}
 	me := "w" + h.Rental.ID
+	if h.muteTill > w.Now {
+		w.After(connectMS, next)
+		return
+	}
 	deliver := func() {
+		if h.muteTill > w.Now {
+			return
+		}
 		if m.Core == nil || w.Refused != nil && w.Refused(m.Name) {
 			// Refused: nothing listens there, or it has no connection left.
 			w.hop(m.Name, me, func() {
@@ -774,7 +813,7 @@
 				w.o.Sabotage.Start(&a)
 			}
 			w.hop(m.Name, me, func() {
-				if done || h.Gone || h.deafTill > w.Now {
+				if done || h.Gone || h.deafTill > w.Now || h.muteTill > w.Now {
 					return
 				}
 				if h.HungTill > w.Now {
@@ -797,6 +836,7 @@
 		m.Core.Report(m.Clock(), id, r)
 		m.drain()
 		w.lateReport(h, m, r)
+		w.keepReport(h, r)
 	}
 	w.hop(me, m.Name, deliver)
 	if w.Rand.Float64() < 0.01 {
@@ -835,6 +875,7 @@
 	}
 	w.Tell("world: %s try %d starts on %s", t.Name, t.Attempt, h.Rental.ID)
 	h.began[t.Name] = w.Now
+	w.checkStart(h, t)
 	if _, started := j.starts[t.Name]; !started {
 		j.starts[t.Name] = w.Now
 	}
@@ -916,17 +957,11 @@
 // AskAt sends a user's request to a member.
 func (w *World) AskAt(m *Member, r scheduler.UserRequest, done func(scheduler.UserAnswer, bool)) {
 	over := false
-	w.moment++
-	op := history.Op{Job: r.ID, Kind: r.Kind, Call: w.moment}
+	op := w.noteAsked(r)
 	end := func(a scheduler.UserAnswer, ok bool) {
 		if !over {
 			over = true
-			w.moment++
-			op.Return = w.moment
-			if ok && a.Status != 503 {
-				op.Status, op.State = a.Status, a.State
-			}
-			w.History = append(w.History, op)
+			w.noteTold(op, a, ok)
 			done(a, ok)
 		}
 	}
@@ -940,6 +975,10 @@
 			if w.o.Sabotage.Answers != nil {
 				w.o.Sabotage.Answers(&a)
 			}
+			if w.o.Sabotage.Told != nil {
+				w.o.Sabotage.Told(r, &a)
+			}
+			w.checkAnswer(r, a)
 			w.hop(m.Name, "users", func() { end(a, true) })
 		}
 		m.Core.User(m.Clock(), id, r)
@@ -961,22 +1000,26 @@
 		if a.State == scheduler.Cancelled && !j.Cancel && !(bounded && a.Failed != "") {
 			w.fail("went_back", "%s is cancelled, by nobody", j.Job.ID)
 		}
-		if a.State == scheduler.Done && len(j.Done) < j.Job.Tasks {
-			w.fail("not_done", "%s is called done after %d of %d tasks", j.Job.ID, len(j.Done), j.Job.Tasks)
+		if a.State == scheduler.Cancelled && j.Cancelled == 0 {
+			j.Cancelled = w.Now
 		}
 		if a.Failed != "" {
 			w.GivenUp[a.ID] = a.Failed
 		}
 		if !j.Accepted {
 			j.Accepted, j.AcceptedAt = true, w.Now
+			w.checkAccepted(j)
+			w.lookClosely(j)
 		}
 		if a.State.Final() && !j.Told.Final() {
 			j.Told, j.toldAt = a.State, w.Now
+			w.lookClosely(j)
 		}
 	case 404, 400, 422:
 		if j.Accepted && asked > j.AcceptedAt {
 			w.fail("forgotten", "%s gets %d", j.Job.ID, a.Status)
 		}
+		w.checkRefused(j, a)
 	}
 }
 
@@ -1012,7 +1055,12 @@
 // AskMember sends a request to a member without a network between.
 func (m *Member) AskMember(r scheduler.UserRequest, done func(scheduler.UserAnswer)) {
 	m.replies++
-	m.users[m.replies] = done
+	op := m.w.noteAsked(r)
+	m.users[m.replies] = func(a scheduler.UserAnswer) {
+		m.w.noteTold(op, a, true)
+		m.w.checkAnswer(r, a)
+		done(a)
+	}
 	m.Core.User(m.Clock(), m.replies, r)
 	m.drain()
 }
@@ -1028,9 +1076,6 @@
 	w.Ask(scheduler.UserRequest{Kind: scheduler.Cancel, ID: j.Job.ID}, func(a scheduler.UserAnswer, ok bool) {
 		if ok {
 			w.Hear(j, asked, a)
-			if a.Status == 200 && a.State == scheduler.Cancelled && j.Cancelled == 0 {
-				j.Cancelled = w.Now
-			}
 		}
 		if !ok || a.Status != 200 {
 			w.After(1000, func() { w.CancelJob(j) })
