workflow: what a call waits for is a typed phase

It was a text (new, submitting, running, asking, reading, cancelling) in a field that hid another one of the same name. Tests of workflow pass.

--- a/internal/node/extension.go
+++ b/internal/node/extension.go
@@ -6,9 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/grebedock/grebedock/extension"
 	"github.com/grebedock/grebedock/scheduler"
-	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Marks of the store's requests of extensions: they share the client and its
@@ -69,7 +70,7 @@
 	}
 }
 
-// viewEvery is how often a subsystem sees how the core stands: what ended is
+// viewEvery is how often an extension sees how the core stands: what ended is
 // seen that much later.
 const viewEvery = 2 * tick
 
@@ -140,12 +141,12 @@
 	}
 }
 
-// storeDone takes the answer to a request that has the subsystem's mark.
+// storeDone takes the answer to a request that has the extension's mark.
 func (s *runner[Q, R, A]) storeDone(id uint64, r scheduler.StoreResult) {
 	s.put(func(now scheduler.Now) { s.machine.StoreDone(now, id&^s.mark, r) })
 }
 
-// ask asks the subsystem on somebody's behalf.
+// ask asks the extension on somebody's behalf.
 func (s *runner[Q, R, A]) ask(patience time.Duration, f func(scheduler.Now, uint64)) (A, bool) {
 	ch := make(chan A, 1)
 	var id uint64
--- a/workflow/calls.go
+++ b/workflow/calls.go
@@ -8,19 +8,33 @@
 	"github.com/grebedock/grebedock/scheduler"
 )
 
+// phase is what a call waits for.
+type phase int
+
+// The phases of a call. A call goes back to pending or running where an answer
+// is missing or says so.
+const (
+	pending    phase = iota // to be looked at: submitted, asked about, or read
+	submitting              // its description, then its submission, is under way
+	running                 // its job runs
+	querying                // how its job stands is asked
+	reading                 // the outputs of its job are read
+	cancelling              // its job is being cancelled
+)
+
 // callState is a call's job.
 type callState struct {
 	*Call
 	job     string
-	state   string // new, submitting, running, asking, reading, cancelling
-	ended   bool   // its job is done
+	phase   phase
+	ended   bool // its job is done
 	retryAt int64
 }
 
 func (d *driven) adopt(calls []*Call) {
 	for _, c := range calls {
 		if d.calls[c.Path] == nil {
-			d.calls[c.Path] = &callState{Call: c, state: "new", job: jobID(d.id, c.Path, d.rec.First, d.numbers)}
+			d.calls[c.Path] = &callState{Call: c, phase: pending, job: jobID(d.id, c.Path, d.rec.First, d.numbers)}
 		}
 	}
 }
@@ -28,8 +42,8 @@
 // stepCall goes on with a call. Its job may have been submitted before, by this
 // member or another: the id says so, and the answer tells how far it is.
 func (h *Host) stepCall(d *driven, c *callState) {
-	switch c.state {
-	case "new":
+	switch c.phase {
+	case pending:
 		switch {
 		case c.ended || d.known[c.Path]:
 			h.read(d, c)
@@ -38,7 +52,7 @@
 		default:
 			h.describe(d, c)
 		}
-	case "running":
+	case running:
 		switch {
 		case d.ending():
 			h.cancel(d, c)
@@ -52,8 +66,9 @@
 // still tells whether an answer that comes now finds what asked for it.
 func (h *Host) still(d *driven, c *callState) bool { return h.runs[d.id] == d && d.calls[c.Path] == c }
 
-func (h *Host) later(c *callState, state string, s int) {
-	c.state, c.retryAt = state, h.Now.Steady+int64(max(s, 1))*1000
+// later has a call looked at again in some seconds.
+func (h *Host) later(c *callState, p phase, s int) {
+	c.phase, c.retryAt = p, h.Now.Steady+int64(max(s, 1))*1000
 }
 
 // describe writes what the workers are to run, then submits the job.
@@ -63,13 +78,13 @@
 		h.failCall(d, c, err)
 		return
 	}
-	c.state = "submitting"
+	c.phase = submitting
 	h.Request(Data{Job: c.job, Description: Describe(c.Call)}, func(r DataResult) {
 		if !h.still(d, c) {
 			return
 		}
 		if r.Err != nil || d.ending() {
-			h.later(c, "new", 1)
+			h.later(c, pending, 1)
 			return
 		}
 		h.submit(d, c, job)
@@ -89,7 +104,7 @@
 		switch {
 		case a.Status == 201:
 			h.Counters.Jobs++
-			c.state = "running"
+			c.phase = running
 		case a.Status == 200 && a.Run != d.id:
 			h.failCall(d, c, fmt.Errorf("the job id %s is taken", c.job))
 		case a.Status == 200:
@@ -97,14 +112,14 @@
 		case a.Status == 400 || a.Status == 422:
 			h.failCall(d, c, errors.New(a.Error))
 		default:
-			h.later(c, "new", a.RetryS)
+			h.later(c, pending, a.RetryS)
 		}
 	})
 }
 
 // query asks how a call's job ended.
 func (h *Host) query(d *driven, c *callState) {
-	c.state = "asking"
+	c.phase = querying
 	h.AskCore(scheduler.UserRequest{Kind: scheduler.Query, ID: c.job}, func(a scheduler.UserAnswer) {
 		if !h.still(d, c) {
 			return
@@ -117,9 +132,9 @@
 				delete(d.calls, c.Path) // never started, and now it cannot be
 				return
 			}
-			h.later(c, "new", 1)
+			h.later(c, pending, 1)
 		default:
-			h.later(c, "running", a.RetryS)
+			h.later(c, running, a.RetryS)
 		}
 	})
 }
@@ -134,12 +149,12 @@
 	case a.State.Final():
 		h.failCall(d, c, fmt.Errorf("its job %s was cancelled", c.job))
 	default:
-		c.state = "running"
+		c.phase = running
 	}
 }
 
 func (h *Host) cancel(d *driven, c *callState) {
-	c.state = "cancelling"
+	c.phase = cancelling
 	h.AskCore(scheduler.UserRequest{Kind: scheduler.Cancel, ID: c.job}, func(a scheduler.UserAnswer) {
 		if !h.still(d, c) {
 			return
@@ -150,14 +165,14 @@
 		case a.Status == 404:
 			delete(d.calls, c.Path)
 		default:
-			h.later(c, "running", a.RetryS)
+			h.later(c, running, a.RetryS)
 		}
 	})
 }
 
 // read fetches the outputs of a call whose job is done.
 func (h *Host) read(d *driven, c *callState) {
-	c.state = "reading"
+	c.phase = reading
 	h.Request(Data{Job: c.job, Tasks: len(c.Inputs)}, func(r DataResult) {
 		if !h.still(d, c) {
 			return
@@ -165,7 +180,7 @@
 		switch {
 		case r.Err != nil:
 			c.ended = true
-			h.later(c, "new", 1)
+			h.later(c, pending, 1)
 			return
 		case r.Missing != "":
 			h.failCall(d, c, errors.New(r.Missing))
--- a/workflow/host.go
+++ b/workflow/host.go
@@ -77,7 +77,7 @@
 	var out []string
 	for _, d := range h.runs {
 		for _, c := range d.calls {
-			if c.state == "running" {
+			if c.phase == running {
 				out = append(out, c.job)
 			}
 		}
--- a/workflow/requests.go
+++ b/workflow/requests.go
@@ -120,7 +120,7 @@
 	for _, p := range sortedKeys(d.calls) {
 		c := d.calls[p]
 		state := "waiting"
-		if c.state == "running" || c.state == "asking" || c.state == "reading" {
+		if c.phase == running || c.phase == querying || c.phase == reading {
 			state = "running"
 		}
 		if d.ending() {
