--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,17 +33,17 @@
 
 // Node is a running controller.
 type Node struct {
-	f      *config.File
-	log    *slog.Logger
-	start  time.Time
-	core   *scheduler.Member
-	lanes  lanes
-	ended  <-chan struct{}
-	up     atomic.Bool
-	health *health
-	guards []*guard.Guard
-	flows  *workflows // nil: switched off
-	recurs *recurring // nil: switched off
+	f         *config.File
+	log       *slog.Logger
+	start     time.Time
+	core      *scheduler.Member
+	lanes     lanes
+	ended     <-chan struct{}
+	up        atomic.Bool
+	health    *health
+	guards    []*guard.Guard
+	workflows *workflowRunner // nil: switched off
+	schedules *scheduleRunner // nil: switched off
 
 	store       *store.Store
 	cloud       *cloud.Cloud
@@ -84,6 +84,21 @@
 func Run(ctx context.Context, f *config.File, set features.Set, log *slog.Logger) error {
 	n := &Node{f: f, log: log, start: time.Now(), health: newHealth(f.Cluster.Limits.Heap()), lanes: newLanes(), ended: ctx.Done(),
 		users: map[uint64]chan scheduler.UserAnswer{}, workers: map[uint64]chan scheduler.WorkerAnswer{}}
+	p := n.coreParams(set)
+	n.core = scheduler.New(p, rand.Uint64(), n.now())
+	if set.Workflows.On {
+		n.workflows = newWorkflowRunner(n, f, set.Workflows.Data)
+	}
+	if set.Schedules.On {
+		n.schedules = newScheduleRunner(n, f)
+	}
+	n.connect(ctx, p.Relays)
+	return n.serve(ctx, set)
+}
+
+// coreParams is what the core needs of the settings and switches.
+func (n *Node) coreParams(set features.Set) scheduler.Params {
+	f := n.f
 	p := Params(f)
 	if set.Relay.On {
 		p.Relays = mesh.Relays(f.Cluster.Limits.MaxSockets)
@@ -94,21 +109,20 @@
 	p.Recovery = set.Recovery.On
 	p.Quota = set.Quota.On
 	p.Rollout = set.Rollout.On
-	p.Debug = log.Enabled(ctx, slog.LevelDebug)
-	n.core = scheduler.New(p, rand.Uint64(), n.now())
-	if set.Workflows.On {
-		n.flows = newWorkflows(n, f, set.Workflows.Data)
-	}
-	if set.Schedules.On {
-		n.recurs = newRecurring(n, f)
-	}
+	p.Debug = n.log.Enabled(context.Background(), slog.LevelDebug)
+	return p
+}
+
+// connect makes the clients of all that the member asks.
+func (n *Node) connect(ctx context.Context, relays int) {
+	f := n.f
 	n.store = store.New(ctx, f, func(id uint64, r scheduler.StoreResult) {
 		switch {
-		case id&flowsID != 0:
-			n.flows.storeDone(id, r)
+		case id&workflowRequests != 0:
+			n.workflows.storeDone(id, r)
 			return
-		case id&recursID != 0:
-			n.recurs.storeDone(id, r)
+		case id&scheduleRequests != 0:
+			n.schedules.storeDone(id, r)
 			return
 		}
 		n.put(func(now scheduler.Now) { n.core.StoreDone(now, id, r) })
@@ -116,9 +130,13 @@
 	n.cloud = cloud.New(ctx, f, func(id uint64, r scheduler.CloudResult) {
 		n.put(func(now scheduler.Now) { n.core.CloudDone(now, id, r) })
 	})
-	n.peers = mesh.NewPeers(f.Others, p.Relays)
+	n.peers = mesh.NewPeers(f.Others, relays)
 	n.workersHTTP = rest.NewMany(2)
+}
 
+// serve listens and runs the loops until ctx ends or a listener fails.
+func (n *Node) serve(ctx context.Context, set features.Set) error {
+	f := n.f
 	frontSock, err := listen(f.Front)
 	if err != nil {
 		return fmt.Errorf("front: %w", err)
@@ -136,23 +154,23 @@
 		meshLn = n.guard(ctx, "mesh", meshLn, meshSlots, mesh.Classes())
 	}
 	frontApp := front.New(n, sockets, guarded)
-	if n.flows != nil {
-		front.ServeWorkflows(frontApp, n.flows)
+	if n.workflows != nil {
+		front.ServeWorkflows(frontApp, n.workflows)
 	}
 	meshApp := mesh.Server(n, sockets, guarded)
-	if n.recurs != nil {
-		mesh.ServeSchedules(meshApp, n.recurs)
+	if n.schedules != nil {
+		mesh.ServeSchedules(meshApp, n.schedules)
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- frontApp.Listener(frontLn) }()
 	go func() { failed <- meshApp.Listener(meshLn) }()
-	log.Info("controller started", "member", f.Member, "zone", f.Zone, "front", f.Front, "mesh", f.MeshAddr, "on", set.On())
+	n.log.Info("controller started", "member", f.Member, "zone", f.Zone, "front", f.Front, "mesh", f.MeshAddr, "on", set.On())
 	go n.loop(ctx)
-	if n.flows != nil {
-		go n.flows.loop(ctx)
+	if n.workflows != nil {
+		go n.workflows.loop(ctx)
 	}
-	if n.recurs != nil {
-		go n.recurs.loop(ctx)
+	if n.schedules != nil {
+		go n.schedules.loop(ctx)
 	}
 	select {
 	case err := <-failed:
@@ -373,11 +391,11 @@
 	for _, g := range n.guards {
 		cs = append(cs, g)
 	}
-	if n.flows != nil {
-		cs = append(cs, n.flows)
+	if n.workflows != nil {
+		cs = append(cs, n.workflows)
 	}
-	if n.recurs != nil {
-		cs = append(cs, n.recurs)
+	if n.schedules != nil {
+		cs = append(cs, n.schedules)
 	}
 	return cs
 }
