Emulator: no job is left waiting while a machine that fits has room

Once all troubles are over, those of machines too, a job that could start a task for 90 s on end and starts none breaks left_waiting. Room, type, zone, kind of machine, spread, one zone, image cache and the team's limit decide, a gang needs all at once; what members believe does not count.

A job whose starts never leave the members is found (TestJobsLeftWaitingAreSeen).

--- a/emulator/world.go
+++ b/emulator/world.go
@@ -248,6 +248,8 @@
 	// CancelledStarts counts tasks that started after their users were told that they
 	// are cancelled.
 	CancelledStarts int
+	// LongestLeftMS is the longest time that a job waited though it could start.
+	LongestLeftMS int64
 	// Looks counts how often users asked at all members at once.
 	Looks int
 	// LateIf tells which further transactions are carried out late.
@@ -267,6 +269,8 @@
 	slowBy      int64
 	slowTill    int64
 	calmSince   int64 // when the last trouble was over
+	// Since when each job waits though it could start.
+	waitsSince  map[string]int64
 	seq         int
 	q           events
 	watches     []parked
@@ -285,7 +289,7 @@
 	}
 	w := &World{Rand: rand.New(rand.NewPCG(o.Seed, 1)), State: standin.NewState(), Cloud: standin.NewCloud(o.Types, o.Capacity), Hosts: map[string]*Host{},
 		Jobs: map[string]*Job{}, Lags: map[string]Lag{}, Outage: map[string]int64{}, Broken: map[string]string{}, Asked: map[scheduler.StoreKind]int{}, Orders: map[string][]int{}, Late: map[string]int{}, Copies: map[string]int{},
-		GivenUp: map[string]string{}, tries: map[string]bool{}, limits: map[string]limitCount{}, Loss: o.Loss, Params: o.Params, o: o}
+		GivenUp: map[string]string{}, tries: map[string]bool{}, limits: map[string]limitCount{}, waitsSince: map[string]int64{}, Loss: o.Loss, Params: o.Params, o: o}
 	w.Cloud.Rented = func(r *standin.Rental) { w.rented(r) }
 	w.Cloud.Released = func(r *standin.Rental) {
 		if h := w.Hosts[r.ID]; h != nil {
@@ -875,6 +879,7 @@
 	}
 	w.Tell("world: %s try %d starts on %s", t.Name, t.Attempt, h.Rental.ID)
 	h.began[t.Name] = w.Now
+	delete(w.waitsSince, job.ID)
 	w.checkStart(h, t)
 	if _, started := j.starts[t.Name]; !started {
 		j.starts[t.Name] = w.Now
@@ -1136,6 +1141,9 @@
 		w.After(40, tick)
 	}
 	tick()
+	if !w.Unchecked {
+		w.After(progressLookMS, w.checkProgress)
+	}
 	if w.SweepMS > 0 && !w.Unchecked {
 		w.After(w.SweepMS, w.sweep)
 	}
--- a/scheduler/checks_test.go
+++ b/scheduler/checks_test.go
@@ -201,3 +201,38 @@
 		t.Error(what)
 	}
 }
+
+// A job that is left waiting while a machine that fits has room is seen, and one that
+// waits for room, for its team's limit, or is served at last, is not.
+func TestJobsLeftWaitingAreSeen(t *testing.T) {
+	t.Parallel()
+	const left = "job-000007"
+	day := func(until int64) *world {
+		w := newWorld(31, emulator.Sabotage{}, smallScale)
+		w.calm = true
+		w.shape = func(j *scheduler.Job, n int) { j.Once, j.MaxErrors = false, 0 }
+		// Its starts never leave the members.
+		without := func(commands []scheduler.Command) []scheduler.Command {
+			return slices.DeleteFunc(commands, func(c scheduler.Command) bool {
+				return c.Kind == scheduler.Start && strings.HasPrefix(c.Task, left+"/") && w.Now < until
+			})
+		}
+		w.Spy = func(_ *emulator.Member, o *scheduler.Outputs) {
+			for id, a := range o.Workers {
+				a.Commands = without(a.Commands)
+				o.Workers[id] = a
+			}
+			for i := range o.Do {
+				o.Do[i].Commands = without(o.Do[i].Commands)
+			}
+		}
+		w.run(20_000, 300_000, 30)
+		return w
+	}
+	if w := day(300_000); !strings.Contains(w.Broken["left_waiting"], left) {
+		t.Errorf("broken: %v", w.Broken)
+	}
+	if w := day(60_000); w.Broken["left_waiting"] != "" {
+		t.Errorf("broken: %v", w.Broken)
+	}
+}
