--- a/scheduler/relay.go
+++ b/scheduler/relay.go
@@ -16,6 +16,8 @@
 	relayed bool        // a peer was asked, once at most
 	waiting bool        // for the peer
 	bad     *UserAnswer // what was learned here: come back later
+	written bool        // a submission whose write was sent
+	reading bool        // its record was seen in the mirror, and is read
 	over    bool
 }
 
@@ -61,7 +63,7 @@
 	case Submit:
 		m.submit(reply, r)
 	case Query:
-		m.lookup(r.ID, Reads, func(a UserAnswer, _ *Item) { m.reply(reply, a) })
+		m.query(q)
 	case Cancel:
 		m.cancel(reply, r.ID, 3)
 	}
