Acceptance: a job that is submitted twice at once is written once

Two submissions of one job that waited in line at the same member shared a transaction, with two puts of the same key, and both were answered 201; the second is a repeated submission, which gets 200. The first is written, the second then told that the job is known.

--- a/scheduler/accept.go
+++ b/scheduler/accept.go
@@ -91,11 +91,18 @@
 	return Change{Key: jobKey(id), Value: value}, append([]Guard{{jobKey(id), 0}, {finalKey(id), 0}}, a.r.Guards...)
 }
 
-// storeAll writes several submissions in one transaction.
+// storeAll writes several submissions in one transaction. Of those of the same job only
+// the first is written: both were answered 201 once.
 func (m *Member) storeAll(items []admission.Item[accept]) {
 	var changes []Change
 	var guards []Guard
+	written := map[string]uint64{} // job: the submission that is written
 	for _, it := range items {
+		id := it.Value.r.Job.ID
+		if _, repeated := written[id]; repeated {
+			continue
+		}
+		written[id] = it.Value.reply
 		c, gs := m.record(it.Value)
 		changes = append(changes, c)
 		for _, g := range gs {
@@ -126,13 +133,22 @@
 			m.accepts.Again(rest)
 		} else {
 			for _, it := range items {
-				m.stored(it.Value, t)
+				m.storedOnce(it.Value, t, written)
 			}
 		}
 		m.pumpAccepts()
 	})
 }
 
+// storedOnce answers a submission whose transaction has ended: of a job's second one it
+// only tells that the job is known.
+func (m *Member) storedOnce(a accept, t StoreResult, written map[string]uint64) {
+	if t.Outcome == OK && written[a.r.Job.ID] != a.reply {
+		t.Outcome = Conflict
+	}
+	m.stored(a, t)
+}
+
 func (m *Member) hindered(a accept, failed []string) bool {
 	id := a.r.Job.ID
 	return slices.Contains(failed, jobKey(id)) || slices.Contains(failed, finalKey(id)) ||
--- a/scheduler/accept_test.go
+++ b/scheduler/accept_test.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// A job that is submitted twice while writes are under way is written once: only its
+// first submission is answered 201.
+func TestAJobSubmittedTwiceIsAcceptedOnce(t *testing.T) {
+	m := taking(t, 1000)
+	for n := range acceptsAhead {
+		m.User(m.now, uint64(n), offered(n, "ops", Normal))
+	}
+	const first, second, job = 50, 51, 9
+	m.User(m.now, first, offered(job, "ops", Normal))
+	m.User(m.now, second, offered(job, "ops", Normal))
+	ops := m.Take().Store
+	m.StoreDone(m.now, ops[0].ID, StoreResult{Rev: 100})
+	write := m.Take().Store[0]
+	if len(write.Changes) != 1 {
+		t.Fatalf("written together: %+v", write.Changes)
+	}
+	m.StoreDone(m.now, write.ID, StoreResult{Rev: 101})
+	o := m.Take()
+	if o.Users[first].Status != 201 || len(o.Users) != 1 || len(o.Store) != 1 || o.Store[0].Key != jobKey("job-000009") {
+		t.Fatalf("then %+v, %+v", o.Users, o.Store)
+	}
+	m.StoreDone(m.now, o.Store[0].ID, StoreResult{Items: []Item{{Key: write.Changes[0].Key, Value: write.Changes[0].Value, Rev: 101}}})
+	if a := m.Take().Users[second]; a.Status != 200 || a.State != Pending {
+		t.Errorf("the second gets %+v", a)
+	}
+}
+
 // Beyond what the state service takes, everybody is answered at once: the urgent
 // are taken, of the others those who wait longest are told when to come, not all
 // the same second.
