--- a/emulator/world.go
+++ b/emulator/world.go
@@ -245,13 +245,13 @@
 	Late, Copies map[string]int
 	// LostAnswerCount counts transactions that were carried out and whose answer was lost.
 	LostAnswerCount int
+	// CancelledStarts counts tasks that started after their users were told that they
+	// are cancelled.
+	CancelledStarts int
 	// Lost counts changes of which only the answer was lost, by their keys' prefix.
 	Lost map[string]int
 	// LoseIf tells of which further transactions that were carried out the answer is lost.
 	LoseIf func(*Member, scheduler.StoreOp) bool
-	// CancelledStarts counts tasks that started after their users were told that they
-	// are cancelled.
-	CancelledStarts int
 	// Looks counts how often users asked at all members at once.
 	Looks int
 	// LateIf tells which further transactions are carried out late.
--- a/scheduler/gap_test.go
+++ b/scheduler/gap_test.go
@@ -193,16 +193,13 @@
 // Authority that is kept a little too long is found.
 func TestTheGapIsSeen(t *testing.T) {
 	t.Parallel()
-	for _, c := range []struct {
-		times     func(*world) gapTimes
-		authority float64
-	}{{anyGap, 2.5}, {secondGap, 4}} {
+	for name, times := range map[string]func(*world) gapTimes{"any": anyGap, "cancelled at the refusal": secondGap} {
 		seen := false
-		for seed := uint64(0); seed < uint64(2**seeds) && !seen; seed++ {
-			seen = playGap(7000+seed, c.authority, c.times).w.Broken["ran_cancelled"] != ""
+		for seed := uint64(0); seed < uint64(8**seeds) && !seen; seed++ { // one day in forty shows it
+			seen = playGap(7000+seed, 2.5, times).w.Broken["ran_cancelled"] != ""
 		}
 		if !seen {
-			t.Errorf("authority that lasts %g s too long is not seen", c.authority)
+			t.Errorf("%s: authority that lasts too long is not seen", name)
 		}
 	}
 }
--- a/scheduler/meetings_test.go
+++ b/scheduler/meetings_test.go
@@ -123,7 +123,11 @@
 						what = "shard adopted"
 					}
 					showed[what]++
-					if w.Now < next || w.Now > meetBusy || what != "shard adopted" && what != "shard handed back" && what != "shard ready" && what != "leading the fleet" {
+					if what != "shard adopted" && what != "shard handed back" && what != "shard ready" && what != "leading the fleet" {
+						continue
+					}
+					// A hand-back is rare: each is met.
+					if w.Now > meetBusy || w.Now < next && what != "shard handed back" {
 						continue
 					}
 					next = w.Now + 1500 + w.Rand.Int64N(6000)
