--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -45,6 +45,9 @@
 // Mute has a machine reach no member, while direct commands reach it.
 func (w *World) Mute(h *Host, ms int64) { h.muteTill = max(h.muteTill, w.Now+ms) }
 
+// IsMute tells whether the machine can open no connection to a member.
+func (h *Host) IsMute(w *World) bool { return h.muteTill > w.Now }
+
 // Deafen has a machine hear nothing while its reports arrive: answers and direct
 // commands to it are lost.
 func (w *World) Deafen(h *Host, ms int64) { h.deafTill = max(h.deafTill, w.Now+ms) }
@@ -65,6 +68,34 @@
 	}
 }
 
+// CutZoneWith cuts the machines of a zone off together with a member: they reach each
+// other, and nobody else. What is sent meanwhile is held, or, with loses, lost.
+func (w *World) CutZoneWith(zone string, m *Member, ms int64, loses bool) {
+	cut := func(a, b string) { w.Cuts = append(w.Cuts, Cut{A: a, B: b, Until: w.Now + ms, Loses: loses}) }
+	cut(m.Name, "store")
+	cut(m.Name, "cloud")
+	for _, o := range w.Members {
+		if o != m {
+			cut(m.Name, o.Name)
+		}
+	}
+	for _, id := range w.IDs {
+		h := w.Hosts[id]
+		if h.Gone {
+			continue
+		}
+		if h.Rental.Zone != zone {
+			cut("w"+id, m.Name)
+			continue
+		}
+		for _, o := range w.Members {
+			if o != m {
+				cut("w"+id, o.Name)
+			}
+		}
+	}
+}
+
 // SlowState has the state service's messages take up to so much longer, each its
 // own time, so that answers overtake each other.
 func (w *World) SlowState(by, ms int64) { w.slowBy, w.slowTill = by, w.Now+ms }
@@ -292,8 +323,8 @@
 
 // noteClaim sees a claim that the state service has carried out, and lets the kept
 // copies of reports arrive.
-func (w *World) noteClaim(op scheduler.StoreOp, r scheduler.StoreResult) {
-	if len(w.keptReports) == 0 || op.Kind != scheduler.StoreTxn || r.Outcome != scheduler.OK {
+func (w *World) noteClaim(m *Member, op scheduler.StoreOp, r scheduler.StoreResult) {
+	if len(w.keptReports)+len(w.heldReports) == 0 || op.Kind != scheduler.StoreTxn || r.Outcome != scheduler.OK {
 		return
 	}
 	claims := slices.ContainsFunc(op.Changes, func(c scheduler.Change) bool {
@@ -302,23 +333,65 @@
 	if !claims {
 		return
 	}
+	w.newHolders[m.Name] = true
 	kept := w.keptReports
 	w.keptReports = nil
+	w.allArrive(kept, "at a claim")
+}
+
+// allArrive brings reports to every member within moments.
+func (w *World) allArrive(kept []keptReport, when string) {
 	for _, k := range kept {
 		for _, m := range w.Members {
-			w.After(w.Rand.Int64N(400), func() { w.copyArrives(m, k) })
+			w.After(w.Rand.Int64N(400), func() { w.copyArrives(m, k, when) })
 		}
 	}
 }
 
-// copyArrives brings a copy of a report to a member; nobody waits for the answer.
-func (w *World) copyArrives(m *Member, k keptReport) {
+// HoldReports has that share of the workers' reports held back, unanswered, until a member
+// that claimed a shard, or the lead, has told a worker to do something. They arrive at every
+// member then.
+func (w *World) HoldReports(of float64, ms int64) { w.holdReports = share{of, w.Now + ms} }
+
+// holdReport tells whether a report is held back.
+func (w *World) holdReport(h *Host, r scheduler.Report) bool {
+	if !w.holdReports.draws(w) {
+		return false
+	}
+	if len(w.heldReports) == keptReportsMost {
+		w.heldReports = slices.Delete(w.heldReports, 0, 1)
+	}
+	w.heldReports = append(w.heldReports, keptReport{h, r})
+	return true
+}
+
+// noteActs sees whether a member that claimed something tells workers what to do for the
+// first time, and lets the reports arrive that were held until then.
+func (w *World) noteActs(m *Member, o *scheduler.Outputs) {
+	if !w.newHolders[m.Name] {
+		return
+	}
+	acts := slices.ContainsFunc(o.Do, func(d scheduler.Do) bool { return len(d.Commands) > 0 })
+	for _, a := range o.Workers {
+		acts = acts || len(a.Commands) > 0
+	}
+	if !acts {
+		return
+	}
+	delete(w.newHolders, m.Name)
+	held := w.heldReports
+	w.heldReports = nil
+	w.allArrive(held, "after a new holder acted")
+}
+
+// copyArrives brings a report to a member; nobody waits for the answer.
+func (w *World) copyArrives(m *Member, k keptReport, when string) {
 	if m.Core == nil || w.Refused != nil && w.Refused(m.Name) {
 		return
 	}
-	w.Copies["at a claim"]++
+	w.Copies[when]++
 	if k.r.Session < k.h.Worker.Session {
-		w.Copies["of an earlier session at a claim"]++
+		w.Copies["of an earlier session "+when]++
 	}
 	m.replies++
 	m.Core.Report(m.Clock(), m.replies, k.r)
@@ -358,6 +431,7 @@
 	{"late reports", func(w *World) { w.LateReports(0.2+0.6*w.Rand.Float64(), w.between(3000, 28_000)) }},
 	{"lost answers", func(w *World) { w.LostAnswers(0.1+0.5*w.Rand.Float64(), w.between(3000, 28_000)) }},
 	{"reports kept for the next claim", func(w *World) { w.ReportsForNextClaim(0.2+0.6*w.Rand.Float64(), w.between(3000, 28_000)) }},
+	{"reports held until a new holder acts", func(w *World) { w.HoldReports(0.1+0.3*w.Rand.Float64(), w.between(3000, 28_000)) }},
 	{"commands late", func(w *World) { w.LateCommands(0.2+0.6*w.Rand.Float64(), w.between(3000, 28_000)) }},
 	{"mute machines", func(w *World) { w.SomeUp(0.4, func(h *Host) { w.Mute(h, w.between(2000, 28_000)) }) }},
 	{"jobs cancelled together", func(w *World) { w.CancelNow(1+w.Rand.IntN(4), w.between(0, 2)*w.between(2000, 10_000)) }},
