--- a/scheduler/meetings_test.go
+++ b/scheduler/meetings_test.go
@@ -392,6 +392,7 @@
 func TestMeetings(t *testing.T) {
 	all := maps.Clone(meetings)
 	maps.Copy(all, requestMeetings)
+	maps.Copy(all, machineMeetings)
 	for name, c := range all {
 		t.Run(strings.ReplaceAll(name, ", ", " "), func(t *testing.T) {
 			t.Parallel()
