--- a/scheduler/meetings_machines_test.go
+++ b/scheduler/meetings_machines_test.go
@@ -29,9 +29,9 @@
 			w.every(25_000, meetBusy, func() { w.LateWrites(0.2, 6000) })
 			w.every(30_000, meetBusy, w.burst)
 			next := int64(10_000)
-			ends := func(m *emulator.Member, what string) {
+			ends := func(m *emulator.Member, what string) bool {
 				if w.Now < next || w.Now > meetBusy {
-					return
+					return false
 				}
 				next = w.Now + 3000 + w.Rand.Int64N(6000)
 				showed["ends: "+what]++
@@ -40,6 +40,7 @@
 					down = 15_000 + w.Rand.Int64N(5000) // adopted meanwhile
 				}
 				w.After(w.Rand.Int64N(900), func() { m.Crash(down) })
+				return true
 			}
 			w.Spy = func(m *emulator.Member, o *scheduler.Outputs) {
 				for _, l := range o.Logs {
@@ -54,11 +55,14 @@
 						}
 					}
 				}
-				for _, kind := range []string{"l/m/", "l/u/"} {
-					if writes(o, kind) && w.Rand.IntN(6) == 0 {
-						ends(m, kind)
-					}
+			}
+			// The write of a roster or of an up list is carried out late, and its author ends.
+			w.LateIf = func(m *emulator.Member, op scheduler.StoreOp) bool {
+				kind := emulator.KindOf(op.Changes[0].Key)
+				if kind != "l/m/" && kind != "l/u/" || op.Changes[0].Value == nil || w.Rand.IntN(2) == 0 {
+					return false
 				}
+				return ends(m, kind)
 			}
 		},
 		least: map[string]int{"starts on new machines": 200, "ends: a start on a new machine": 3, "ends: l/m/": 4, "ends: l/u/": 4, "shard claimed": 40},
