--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -288,6 +288,9 @@
 	if !claims {
 		return
 	}
+	if w.newHolders == nil {
+		w.newHolders = map[string]bool{}
+	}
 	w.newHolders[m.Name] = true
 	kept := w.keptReports
 	w.keptReports = nil
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -245,13 +245,13 @@
 	Late, Copies map[string]int
 	// LostAnswerCount counts transactions that were carried out and whose answer was lost.
 	LostAnswerCount int
-	// NotConnected counts reports of machines that could open no connection.
-	NotConnected int
 	// CancelledStarts counts tasks that started after their users were told that they
 	// are cancelled.
 	CancelledStarts int
 	// Looks counts how often users asked at all members at once.
 	Looks int
+	// NotConnected counts reports of machines that could open no connection.
+	NotConnected int
 	// LateIf tells which further transactions are carried out late.
 	LateIf func(*Member, scheduler.StoreOp) bool
 
@@ -290,7 +290,7 @@
 	}
 	w := &World{Rand: rand.New(rand.NewPCG(o.Seed, 1)), State: standin.NewState(), Cloud: standin.NewCloud(o.Types, o.Capacity), Hosts: map[string]*Host{},
 		Jobs: map[string]*Job{}, Lags: map[string]Lag{}, Outage: map[string]int64{}, Broken: map[string]string{}, Asked: map[scheduler.StoreKind]int{}, Orders: map[string][]int{}, Late: map[string]int{}, Copies: map[string]int{},
-		GivenUp: map[string]string{}, tries: map[string]bool{}, limits: map[string]limitCount{}, newHolders: map[string]bool{}, Loss: o.Loss, Params: o.Params, o: o}
+		GivenUp: map[string]string{}, tries: map[string]bool{}, limits: map[string]limitCount{}, Loss: o.Loss, Params: o.Params, o: o}
 	w.Cloud.Rented = func(r *standin.Rental) { w.rented(r) }
 	w.Cloud.Released = func(r *standin.Rental) {
 		if h := w.Hosts[r.ID]; h != nil {
