--- a/scheduler/meetings_machines_test.go
+++ b/scheduler/meetings_machines_test.go
@@ -17,9 +17,15 @@
 var machineMeetings = map[string]meeting{
 	// New machines are up within two seconds and get work at once while writes lag, and the
 	// leader ends: with the write of a roster or of an up list under way, or right after the
-	// start of a task on a machine that is a few seconds old.
+	// start of a task on a machine that is a few seconds old. The largest jobs are of the
+	// team without a limit.
 	"machines up within two seconds, a leader ends": {
-		shape: func(w *world, j *scheduler.Job, n int) { j.Spread, j.MaxErrors = false, 0 },
+		shape: func(w *world, j *scheduler.Job, n int) {
+			j.Spread, j.MaxErrors = false, 0
+			if j.Request.CPUs > 4 {
+				j.Team = "t1"
+			}
+		},
 		brings: func(t *testing.T, w *world, showed map[string]int) {
 			w.Cloud.Types = slices.Clone(w.Cloud.Types)
 			for i := range w.Cloud.Types {
