Limits: a part that a shard keeps and can't use goes to others after a while

Change: what the next task does not fit in is kept for 30 times the time between two summaries while others want it; then they have it. TestWhatCannotBeUsedIsKeptForAWhile: without it, never given in 100 s. TestALargeTaskCollectsItsPart: a task of 60 of 64 gets its part.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,7 +25,9 @@
 //
 // What a giver has beyond its use goes first to what can start at once, here and there,
 // the smallest use of the longest waiting first, so that one large task is not starved by
-// halves; then to the rest, in proportion to what waits (Divide).
+// halves; then to the rest, in proportion to what waits (Divide). What it keeps and can't
+// use, since its next task is larger, it keeps for a while only (Patience): then others
+// have it, and its own task waits anew.
 //
 // A guarantee needs no record. Which jobs are within it follows from the jobs themselves,
 // which every member mirrors (Within): a team's unfinished jobs in the order in which they
@@ -119,6 +121,10 @@
 	rev   uint64
 	out   *Write
 	parts map[string]Amounts // of the record; nil: not worked out yet
+	// Patience is how long a shard keeps what its next task does not fit in while others
+	// want it; 0: for ever.
+	Patience int64
+	idle     map[string]int64 // shard: since when it keeps such an amount
 }
 
 // NewBook opens the book of a team whose record is not known yet, or does not exist.
@@ -224,6 +230,9 @@
 		}
 		if len(claims) > 1 {
 			gifts = Divide(spare, claims)
+			if b.keptTooLong(now, shard, gifts[shard], d.Unit) {
+				gifts = Divide(spare, claims[1:])
+			}
 			delete(gifts, shard)
 			maps.DeleteFunc(gifts, func(_ string, g Amounts) bool { return !g.some() })
 		}
@@ -280,6 +289,28 @@
 	return b.out
 }
 
+// keptTooLong tells whether a shard has kept less than its next task needs for too long.
+// What it then gives away it collects anew.
+func (b *Book) keptTooLong(now int64, shard string, kept, unit Amounts) bool {
+	if b.Patience == 0 || !kept.some() || kept.Fits(unit) {
+		delete(b.idle, shard)
+		return false
+	}
+	since, known := b.idle[shard]
+	if !known {
+		if b.idle == nil {
+			b.idle = map[string]int64{}
+		}
+		b.idle[shard] = now
+		return false
+	}
+	if now-since <= b.Patience {
+		return false
+	}
+	delete(b.idle, shard)
+	return true
+}
+
 // standIn is which part of a limit stands with other shards while its home has no use for
 // it: half, in equal shares. With it they go on while the home's holder is away, which
 // they could not ask then.
--- a/scheduler/teams.go
+++ b/scheduler/teams.go
@@ -185,6 +185,7 @@
 	s.nextDraft = m.now.Steady + ms(m.settings.SummaryS)/draftsIn
 	demands := m.demandsOf(s)
 	for name, b := range inOrder(m.books) {
+		b.Patience = keepsIn * ms(m.settings.SummaryS)
 		if w := b.Draft(m.now.Wall, s.name, demands[name]); w != nil {
 			s.dirty = true
 			m.sendBook(s, name, b, w)
@@ -196,6 +197,10 @@
 // summaries. A write follows only what changed.
 const draftsIn = 4
 
+// keepsIn is for how many times the time between two summaries a shard keeps a part of a
+// limit that its next task does not fit in, while others want it.
+const keepsIn = 30
+
 // sendBook writes a team's record until the outcome is certain (package quota).
 func (m *Member) sendBook(s *shard, team string, b *quota.Book, w *quota.Write) {
 	key := teamKey(team)
