--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -670,6 +670,10 @@
 	mc.commands = append(mc.commands, Command{Kind: Stop, Task: t.Task, Attempt: t.Attempt, GraceS: a.job.SaveS + m.p.ReportS})
 }
 
+// errorPauseLeases is the longest pause of a job after an error, in leases. All its tasks
+// wait, those of a large job that met several faulty machines too.
+const errorPauseLeases = 2
+
 // failed counts an error against the machine and the job. Mostly the machine
 // is faulty, so the task goes elsewhere; a job that fails on several machines
 // waits longer each time, so that it does not eat the fleet.
@@ -696,7 +700,7 @@
 		wait *= 2
 	}
 	if len(w.failed) > 1 {
-		w.retryAt = m.now.Steady + min(wait, 120_000)
+		w.retryAt = m.now.Steady + min(wait, ms(errorPauseLeases*m.p.LeaseS))
 	}
 	m.log(Info, "task failed", "task", a.key.task, "machine", mc.id, "errors", w.errors)
 }
