--- a/emulator/progress.go
+++ b/emulator/progress.go
@@ -179,11 +179,15 @@
 		return
 	}
 	u := w.usage()
+	teams := w.Params.Teams
+	if w.NewTeams != nil {
+		teams = w.NewTeams
+	}
 	for _, id := range w.Order {
 		j := w.Jobs[id]
 		machine, could := "", false
 		if j.Accepted && j.unfinished() {
-			machine, could = u.couldStart(j, w.Params.Teams[j.Job.Team])
+			machine, could = u.couldStart(j, teams[j.Job.Team])
 		}
 		since, waits := w.waitsSince[id]
 		if could && waits {
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -248,6 +248,9 @@
 	// CancelledStarts counts tasks that started after their users were told that they
 	// are cancelled.
 	CancelledStarts int
+	// NewTeams are those of settings that members take over one by one, if there are any: a
+	// job over their limits may wait.
+	NewTeams map[string]scheduler.Team
 	// LongestLeftMS is the longest time that a job waited though it could start.
 	LongestLeftMS int64
 	// Lost counts changes of which only the answer was lost, by their keys' prefix.
--- a/scheduler/quota_test.go
+++ b/scheduler/quota_test.go
@@ -151,6 +151,7 @@
 						for n, t := range c.teams {
 							p.Teams[n] = scheduler.Team{CPUs: t.CPUs, MaxCPUs: t.MaxCPUs / 2}
 						}
+						w.NewTeams = p.Teams
 					}
 				}
 				w.World = emulator.New(o)
