--- a/scheduler/meetings_requests_test.go
+++ b/scheduler/meetings_requests_test.go
@@ -361,6 +361,11 @@
 					}
 					w.SomeUp(0.3, func(h *emulator.Host) { w.outOfReach(h, 1000+w.Rand.Int64N(15_000)) })
 					w.SomeUp(0.3, func(h *emulator.Host) { w.HoldCommands(h, 1000+w.Rand.Int64N(9000), w.Rand.IntN(2) == 0) })
+					for at := int64(0); at < 5000; at += 300 { // what they are told first is lost to some
+						w.After(at, func() {
+							w.SomeUp(0.1, func(h *emulator.Host) { w.Deafen(h, 300+w.Rand.Int64N(3000)) })
+						})
+					}
 					for range 3 {
 						w.After(w.Rand.Int64N(7000), func() {
 							if squaring[shard] {
