--- a/emulator/world.go
+++ b/emulator/world.go
@@ -233,7 +233,11 @@
 	Refused func(member string) bool
 	// Faulty machines fail every task.
 	Faulty func(*Host) bool
-	Spy    func(*Member, *scheduler.Outputs)
+	// Mistaken jobs were submitted with a mistake: their tasks fail on every machine.
+	Mistaken func(*Job) bool
+	// Boot changes how long a machine takes to come up, in ms; below 0 it never does.
+	Boot func(h *Host, usual int64) int64
+	Spy  func(*Member, *scheduler.Outputs)
 	// Stopped is told of each task that a worker was told to stop though its job goes
 	// on: with some grace. Without any, "stopped_well" is the rule.
 	Stopped func(*Host, *standin.Task)
@@ -660,6 +664,12 @@
 	if w.Rand.Float64() < 0.05 {
 		return // never comes up
 	}
+	if w.Boot != nil {
+		boot = w.Boot(h, boot)
+	}
+	if boot < 0 {
+		return
+	}
 	w.After(boot, func() {
 		if h.Gone {
 			return
@@ -703,7 +713,7 @@
 				}
 			},
 			Execute: func(t *standin.Task) standin.Execution {
-				if w.Faulty != nil && w.Faulty(h) {
+				if w.Faulty != nil && w.Faulty(h) || w.Mistaken != nil && w.Mistaken(w.Jobs[t.Job.ID]) {
 					return &failing{w, w.Now + 1000, false}
 				}
 				if t.Job.MaxErrors == 0 {
--- a/scheduler/meetings_test.go
+++ b/scheduler/meetings_test.go
@@ -394,12 +394,18 @@
 func TestMeetings(t *testing.T) {
 	all := maps.Clone(meetings)
 	maps.Copy(all, requestMeetings)
-	for name, c := range all {
+	playMeetings(t, all, 6500, func(w *emulator.World, _ *emulator.Job, _ string) int64 { return 1000 + w.Rand.Int64N(20_000) })
+}
+
+// playMeetings plays days of each kind, whose seeds begin at first and whose tasks run for
+// so long.
+func playMeetings(t *testing.T, kinds map[string]meeting, first uint64, runMS func(*emulator.World, *emulator.Job, string) int64) {
+	for name, c := range kinds {
 		t.Run(strings.ReplaceAll(name, ", ", " "), func(t *testing.T) {
 			t.Parallel()
 			showed := map[string]int{}
 			for seed := range uint64(*seeds / 4) {
-				o := emulator.Options{Seed: 6500 + seed, RunMS: func(w *emulator.World, _ *emulator.Job, _ string) int64 { return 1000 + w.Rand.Int64N(20_000) }}
+				o := emulator.Options{Seed: first + seed, RunMS: runMS}
 				w := build(smallScale, o)
 				w.calm, w.Trace = true, *trace == int(seed)
 				if c.shape != nil {
