scheduler: a broken job's errors are no fault of machines, and it is probed by one task

Cause: errors of a job were counted against the first two machines that it failed on, for good. Change: a job that failed on three machines and is done nowhere is broken. Its errors are taken off its machines, also when it is cancelled with nothing done; and of its tasks one is started at a time until one is done.

--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -670,6 +670,42 @@
 	mc.commands = append(mc.commands, Command{Kind: Stop, Task: t.Task, Attempt: t.Attempt, GraceS: a.job.SaveS + m.p.ReportS})
 }
 
+// brokenMachines is on how many machines a job fails, and is done nowhere, before its
+// errors are its own.
+const brokenMachines = 3
+
+// broken tells whether a work's errors are its job's: it failed on several machines, and
+// none of its tasks is done.
+func (w *work) broken() bool { return len(w.failed) >= brokenMachines && w.nDone == 0 }
+
+// probing tells whether a work may not start more tasks now: one at a time shows whether
+// a broken job still fails, and takes no more room, fetches and machines than that. Gangs
+// begin together or not at all.
+func (w *work) probing() bool {
+	return w.broken() && w.nBusy > 0 && w.job.rec.Job.Kind == Array
+}
+
+// plannable is how many of a work's waiting tasks are planned, and asked machines for.
+func (w *work) plannable() int {
+	switch {
+	case w.probing():
+		return 0
+	case w.broken() && w.job.rec.Job.Kind == Array:
+		return min(w.pending(), 1)
+	}
+	return w.pending()
+}
+
+// acquit takes a job's errors off the machines that they were counted against: it is
+// broken, or was cancelled before any of its tasks was done, and nobody knows whose they were.
+func (m *Member) acquit(w *work) {
+	for id := range w.failed {
+		if mc := m.machines[id]; mc != nil {
+			delete(mc.faults, w.job.rec.Job.ID)
+		}
+	}
+}
+
 // failed counts an error against the machine and the job. Mostly the machine
 // is faulty, so the task goes elsewhere; a job that fails on several machines
 // waits longer each time, so that it does not eat the fleet.
@@ -685,7 +721,10 @@
 	w.failed[mc.id]++
 	w.errors++
 	m.countError(w, a)
-	if len(w.failed) < 3 {
+	switch {
+	case w.broken():
+		m.acquit(w)
+	case len(w.failed) < brokenMachines && m.current(w):
 		if mc.faults == nil {
 			mc.faults = map[string]bool{}
 		}
@@ -999,7 +1038,7 @@
 // mayStart checks, at the last moment, what the rules ask of a start.
 func (m *Member) mayStart(s *shard, w *work, mc *machine) bool {
 	j := &w.job.rec.Job
-	if !m.allowed(j, mc.rec.Type, mc.rec.Zone, mc.rec.Spot) || mc.tries() || m.blocked(s, w) || !m.mayBegin(w) {
+	if !m.allowed(j, mc.rec.Type, mc.rec.Zone, mc.rec.Spot) || mc.tries() || m.blocked(s, w) || w.probing() || !m.mayBegin(w) {
 		return false
 	}
 	return m.zoneAllows(w, mc.rec.Zone) && m.teamAllows(s, j)
--- a/scheduler/nights_test.go
+++ b/scheduler/nights_test.go
@@ -235,3 +235,39 @@
 }
 
 func TestNights(t *testing.T) { playMeetings(t, nights, 7500, nightRunMS) }
+
+// Jobs that were submitted with a mistake, one after the other, each cancelled before the
+// next: their errors are theirs, and no machine is emptied for them.
+func TestMistakenJobsEmptyNoMachine(t *testing.T) {
+	t.Parallel()
+	drained, failed := 0, 0
+	for seed := range uint64(*seeds / 4) {
+		w := build(smallScale, emulator.Options{Seed: 7600 + seed, RunMS: nightRunMS})
+		w.calm = true
+		w.shape = func(j *scheduler.Job, _ int) { j.Once, j.MaxErrors = false, 0 }
+		w.Mistaken = func(j *emulator.Job) bool { return j.Job.Class == "mistaken" }
+		w.logs(func(_ *emulator.Member, l scheduler.LogLine) {
+			switch {
+			case l.Text == "task failed":
+				failed++
+			case l.Text == "machine draining" && l.Args[len(l.Args)-1] == "tasks of several jobs failed":
+				drained++
+			}
+		})
+		for n := range 8 {
+			w.After(20_000+int64(n)*15_000, func() {
+				j := emulator.NewJob(scheduler.Job{ID: fmt.Sprintf("job-mistaken-%d", n), Class: "mistaken", Team: "t1", Kind: scheduler.Array, Priority: scheduler.High,
+					Tasks: 12, Request: availability.Room{CPUs: 4, MemoryGB: 8, DiskGB: 1}, Image: "img-0", EstimateS: 5})
+				w.Submit(j)
+				w.After(12_000, func() { w.CancelJob(j) })
+			})
+		}
+		w.run(150_000, 400_000, 60)
+		w.check(t)
+		w.served(t)
+	}
+	if drained > 0 || failed < 100 {
+		t.Errorf("%d machines are drained after %d errors", drained, failed)
+	}
+	t.Logf("%d tasks failed", failed)
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -171,10 +171,11 @@
 func (m *Member) groups(s *shard) []*group {
 	var out []*group
 	for _, w := range s.works {
-		if w.pending() <= 0 {
+		waiting := w.plannable()
+		if waiting <= 0 {
 			continue
 		}
-		g := m.newGroup(w, w.pending())
+		g := m.newGroup(w, waiting)
 		g.Within = m.p.Quota && m.guaranteed(g.j)
 		g.Aimed = g.Tight < g.Due && g.Tight-g.Length >= m.now.Wall
 		out = append(out, g)
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -399,6 +399,9 @@
 func (m *Member) dropWork(w *work) {
 	s := w.claim
 	s.dirty = true
+	if w.nDone == 0 {
+		m.acquit(w)
+	}
 	if p := s.pages[w.key]; p != nil && p.rev != 0 && strings.HasSuffix(w.key, w.name()) {
 		p.dirty = true // a page of its own goes with it
 	}
