--- a/scheduler/meetings_requests_test.go
+++ b/scheduler/meetings_requests_test.go
@@ -100,14 +100,6 @@
 	}
 }
 
-// heard checks an answer, and counts a cancellation as confirmed whoever is told of it.
-func (w *world) heard(j *emulator.Job, asked int64, a scheduler.UserAnswer) {
-	w.Hear(j, asked, a)
-	if a.Status == 200 && a.State == scheduler.Cancelled && a.Failed == "" && j.Cancel && j.Cancelled == 0 {
-		j.Cancelled = w.Now
-	}
-}
-
 // askOn asks about a job at one member after the other, so many times, each time as soon
 // as the last answer is there. Some questions are repeated submissions.
 func (w *world) askOn(j *emulator.Job, times int, showed map[string]int) {
@@ -126,7 +118,7 @@
 		} else {
 			showed["answers"]++
 		}
-		w.heard(j, asked, a)
+		w.Hear(j, asked, a)
 		if times > 1 {
 			w.askOn(j, times-1, showed)
 		}
@@ -256,7 +248,7 @@
 						again, asked := j.Job, w.Now
 						w.AskAt(w.member(), scheduler.UserRequest{Kind: scheduler.Submit, ID: j.Job.ID, Job: &again}, func(a scheduler.UserAnswer, ok bool) {
 							if ok {
-								w.heard(j, asked, a)
+								w.Hear(j, asked, a)
 							}
 						})
 					}
--- a/scheduler/meetings_test.go
+++ b/scheduler/meetings_test.go
@@ -394,6 +394,7 @@
 func TestMeetings(t *testing.T) {
 	all := maps.Clone(meetings)
 	maps.Copy(all, requestMeetings)
+	maps.Copy(all, machineMeetings)
 	playMeetings(t, all, 6500, func(w *emulator.World, _ *emulator.Job, _ string) int64 { return 1000 + w.Rand.Int64N(20_000) })
 }
 
