Merge: a broken job's errors are no fault of machines, and it is probed by one task

A probe that goes on for a lease after the pause lets the others begin: long tasks of a job that met three faulty machines would wait for its end.

--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -674,6 +674,46 @@
 // wait, those of a large job that met several faulty machines too.
 const errorPauseLeases = 2
 
+// brokenMachines is on how many machines a job fails, and is done nowhere, before its
+// errors are its own.
+const brokenMachines = 3
+
+// broken tells whether a work's errors are its job's: it failed on several machines, and
+// none of its tasks is done.
+func (w *work) broken() bool { return len(w.failed) >= brokenMachines && w.nDone == 0 }
+
+// probes tells whether a work may start one task at a time only, which shows whether a
+// broken job still fails and takes no more room, fetches and machines than that. A probe
+// that goes on for a lease after the pause has shown that it does not. Gangs begin
+// together or not at all.
+func (m *Member) probes(w *work) bool {
+	return w.broken() && w.job.rec.Job.Kind == Array && m.now.Steady < w.retryAt+ms(m.p.LeaseS)
+}
+
+// probing tells whether a work's probe is on a machine.
+func (m *Member) probing(w *work) bool { return w.nBusy > 0 && m.probes(w) }
+
+// plannable is how many of a work's waiting tasks are planned, and asked machines for.
+func (m *Member) plannable(w *work) int {
+	switch {
+	case m.probing(w):
+		return 0
+	case m.probes(w):
+		return min(w.pending(), 1)
+	}
+	return w.pending()
+}
+
+// acquit takes a job's errors off the machines that they were counted against: it is
+// broken, or was cancelled before any of its tasks was done, and nobody knows whose they were.
+func (m *Member) acquit(w *work) {
+	for id := range w.failed {
+		if mc := m.machines[id]; mc != nil {
+			delete(mc.faults, w.job.rec.Job.ID)
+		}
+	}
+}
+
 // failed counts an error against the machine and the job. Mostly the machine
 // is faulty, so the task goes elsewhere; a job that fails on several machines
 // waits longer each time, so that it does not eat the fleet.
@@ -689,7 +729,10 @@
 	w.failed[mc.id]++
 	w.errors++
 	m.countError(w, a)
-	if len(w.failed) < 3 {
+	switch {
+	case w.broken():
+		m.acquit(w)
+	case len(w.failed) < brokenMachines && m.current(w):
 		if mc.faults == nil {
 			mc.faults = map[string]bool{}
 		}
@@ -1003,7 +1046,7 @@
 // mayStart checks, at the last moment, what the rules ask of a start.
 func (m *Member) mayStart(s *shard, w *work, mc *machine) bool {
 	j := &w.job.rec.Job
-	if !m.allowed(j, mc.rec.Type, mc.rec.Zone, mc.rec.Spot) || mc.tries() || m.blocked(s, w) || !m.mayBegin(w) {
+	if !m.allowed(j, mc.rec.Type, mc.rec.Zone, mc.rec.Spot) || mc.tries() || m.blocked(s, w) || m.probing(w) || !m.mayBegin(w) {
 		return false
 	}
 	return m.zoneAllows(w, mc.rec.Zone) && m.teamAllows(s, j)
