Aging: the first task of a large job that waited too long to begin goes first

Cause: under more work than room, three rules put off the largest and the longest of a class: what can't be in time any more goes behind whatever comes (a wide job is refused by its team's limit first), earlier deadlines go first (a long job's is later), and a job larger than its team's guarantee is never within it. Change: a job with at least its class's mean volume, nothing of which has begun after three quarters of begin_within_s (240 s), starts one task before its equals; the team's limit keeps room for it together. Feature aging.

--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -32,6 +32,9 @@
 	Recovery Switch `toml:"recovery"`
 	// Quota gives teams their guarantees by what others run beyond theirs.
 	Quota Switch `toml:"quota"`
+	// Aging has the first tasks of large jobs that waited too long to begin go before
+	// their equals.
+	Aging Switch `toml:"aging"`
 	// Rollout drains and replaces machines in steps, by plans.
 	Rollout Switch `toml:"rollout"`
 	// Workflows takes workflows of the Common Workflow Language.
@@ -84,7 +87,7 @@
 	for _, f := range []struct {
 		name string
 		s    Switch
-	}{{"connections", s.Connections}, {"relay", s.Relay}, {"admission", s.Admission}, {"recovery", s.Recovery}, {"quota", s.Quota}, {"rollout", s.Rollout}, {"workflows", s.Workflows.Switch}, {"schedules", s.Schedules}} {
+	}{{"connections", s.Connections}, {"relay", s.Relay}, {"admission", s.Admission}, {"recovery", s.Recovery}, {"quota", s.Quota}, {"aging", s.Aging}, {"rollout", s.Rollout}, {"workflows", s.Workflows.Switch}, {"schedules", s.Schedules}} {
 		if f.s.On {
 			out = append(out, f.name)
 		}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -138,6 +138,7 @@
 	l.set.Admission.On = true
 	l.set.Recovery.On = true
 	l.set.Quota.On = true
+	l.set.Aging.On = true
 	l.set.Rollout.On = true
 	l.set.Schedules.On = true
 	l.set.Workflows.On, l.set.Workflows.Data = true, l.Dir
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,7 @@
 	}
 	p.Recovery = set.Recovery.On
 	p.Quota = set.Quota.On
+	p.Aging = set.Aging.On
 	p.Rollout = set.Rollout.On
 	p.Debug = log.Enabled(ctx, slog.LevelDebug)
 	n.core = scheduler.New(p, rand.Uint64(), n.now())
--- a/planner/place.go
+++ b/planner/place.go
@@ -51,6 +51,8 @@
 	Aimed      bool // a start aim or a guarantee waits for it and can still be met
 	Within     bool // of its team's guarantee
 	Level      int  // how far its team is beyond its guarantee when it comes to it
+	Begun      bool // a task of it runs or is done
+	First      bool // the first task of a job that waited too long to begin (SplitFirst)
 	Held       bool // was admitted before, and keeps its place among its equals
 	Name       string
 	Lo         int // place in its job
@@ -587,8 +589,8 @@
 	return p.out.Gang, g.Left - now - later
 }
 
-// Sort puts groups in the order in which they are placed: higher priority first; within one, what
-// can meet an aim before what can't, then what is within its team's guarantee, then by its team's level; what was admitted
+// Sort puts groups in the order in which they are placed: higher priority first; within one, the first
+// tasks of jobs that waited too long to begin, then what can meet an aim before what can't, then what is within its team's guarantee, then by its team's level; what was admitted
 // keeps its place, then earliest deadline, then arrival.
 func Sort[G any](gs []G, of func(G) *Group) {
 	slices.SortFunc(gs, func(x, y G) int { return of(x).compare(of(y)) })
@@ -598,6 +600,7 @@
 	first := func(a, b bool) int { return bit(b, 0) - bit(a, 0) }
 	return cmp.Or(
 		o.Priority-g.Priority,
+		first(g.First, o.First),
 		// One that can meet no aim any more must not cost others theirs.
 		first(!g.Lost, !o.Lost),
 		// What is free goes to guarantees first: otherwise it goes to others,
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -987,6 +987,9 @@
 // work that spot machines end in time, or they would never be idle and returned.
 func (m *Member) mayPick(s *shard, mc *machine, t *MachineType, g *group) bool {
 	j := &g.w.job.rec.Job
+	if g.First && g.w.begun() {
+		return false // the rest has its own place in the queue
+	}
 	if !m.current(g.w) || g.w.moving || m.now.Steady < g.w.retryAt || g.w.failed[mc.id] > 0 {
 		return false
 	}
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -51,6 +51,7 @@
 	ListLagS   float64
 	AcceptRate float64 // changes a second that the state service allows this member; 0: submissions are written one by one
 	Relays     int     // users' requests that peers may be answering at once; 0: none
+	Aging      bool    // first tasks of jobs that waited too long to begin go before their equals
 	Quota      bool    // teams get their guarantees by what others run beyond theirs
 	Rollout    bool    // machines are drained and replaced in steps, by plans
 	Recovery   bool    // orders after a claim are paced, and what reports do not say is remembered
@@ -69,6 +70,10 @@
 	IdleBoots float64  `json:"idle_boots"` // idle time before return, in boot times of the machine's type
 	Drain     []string `json:"drain,omitempty"`
 
+	// BeginWithinS is the time in which the first task of each job is to start, if
+	// its priority finds room at all (feature aging).
+	BeginWithinS float64 `json:"begin_within_s"`
+
 	// Disruption is by team what may be stopped to empty machines (rollouts); "*"
 	// stands for teams that are not named. Without either, nothing is.
 	Disruption map[string]disruption.Budget `json:"disruption,omitempty"`
@@ -76,7 +81,7 @@
 
 // DefaultSettings are the paper's limits and the design's starting values.
 func DefaultSettings() Settings {
-	return Settings{Functions: 125, Samples: 10, LateShare: 0.25, SummaryS: 1, IdleBoots: 1.5}
+	return Settings{Functions: 125, Samples: 10, LateShare: 0.25, SummaryS: 1, IdleBoots: 1.5, BeginWithinS: 240}
 }
 
 // Check says what is wrong with settings, or nothing.
@@ -92,6 +97,8 @@
 		return "summary_s must be from 0.1 to 60"
 	case !(s.IdleBoots >= 0) || s.IdleBoots > 1000:
 		return "idle_boots must be from 0 to 1000"
+	case !(s.BeginWithinS >= 1) || s.BeginWithinS > 1e6:
+		return "begin_within_s must be from 1 to 1000000"
 	case len(s.Drain) > 100:
 		return "drain must name at most 100 machines"
 	case len(s.Disruption) > 100:
@@ -142,6 +149,7 @@
 	watch    *quota.Watch
 	standing standing
 	up       capacity
+	volumes  volumes
 	lead     string
 	types    map[string]*MachineType
 	catalog  *planner.Catalog // the same, as placement sees it
--- a/scheduler/peers.go
+++ b/scheduler/peers.go
@@ -283,7 +283,10 @@
 	}
 	for _, g := range s.queue {
 		// What waits in a queue here may start at once there, but for what others are
-		// stopped for here.
+		// stopped for here. A first task that goes ahead moves with the rest of its job.
+		if g.First && g.w.pending() > 1 {
+			continue
+		}
 		if n := g.Waiting - s.pledged[g.w]; n > 0 && movable(g.w) {
 			m.moveTail(s, g.w, n, g.Length, m.soon(g.j, g.Length))
 		}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -157,7 +157,7 @@
 func (m *Member) newGroup(w *work, left int) *group {
 	j := &w.job.rec.Job
 	g := &group{w: w, j: j, Group: planner.Group{Ask: j.ask(), Priority: int(j.Priority), Left: left, Tasks: j.Tasks, Length: m.length(j), Accepted: w.job.rec.Accepted,
-		Held: w.admitted, Name: j.ID, Lo: w.rng.Lo, Gang: j.Kind == Gang, OneZone: j.OneZone, Spread: j.Spread, Live: w.zones, Failed: w.failed}}
+		Begun: w.begun(), Held: w.admitted, Name: j.ID, Lo: w.rng.Lo, Gang: j.Kind == Gang, OneZone: j.OneZone, Spread: j.Spread, Live: w.zones, Failed: w.failed}}
 	g.Tight, g.Due, g.Lost = m.aims(j, g.Accepted, g.Length)
 	return g
 }
@@ -186,7 +186,7 @@
 	if m.p.Quota && m.level(out) {
 		sortGroups(out)
 	}
-	return out
+	return m.age(out)
 }
 
 // admitToTeams admits groups to their teams' limits as tasks are admitted to
@@ -255,12 +255,16 @@
 		return availability.Room{CPUs: float64(n) * j.Request.CPUs, GPUs: float64(n) * j.Request.GPUs}
 	}
 	clear(s.soon)
+	clear(s.kept)
 	s.cedes = nil
 	for _, g := range s.queue {
 		if m.now.Steady < g.w.retryAt || m.blocked(s, g.w) || g.w.moving {
 			continue
 		}
 		cap := m.teamCopies(s, g.j, begun[g.j.Team])
+		if g.First && cap == 0 {
+			m.keep(s, g.j)
+		}
 		if cap < g.Left {
 			// More cannot run at once; asking for machines would not help.
 			m.couldUse(s, g)
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -182,12 +182,14 @@
 	s.owed[j.Team] = o
 }
 
-// owedTo is what a job must leave of its team's limit to higher priorities.
+// owedTo is what a job must leave of its team's limit to others: to higher priorities,
+// and to a first task that the limit holds up.
 func (m *Member) owedTo(s *shard, j *Job) availability.Room {
+	kept := s.keptFrom(j)
 	if o, ok := s.owed[j.Team]; ok && j.Priority < o.priority && m.now.Steady < o.until {
-		return availability.Room{CPUs: max(0, o.cpus), GPUs: max(0, o.gpus)}
+		return kept.Add(availability.Room{CPUs: max(0, o.cpus), GPUs: max(0, o.gpus)})
 	}
-	return availability.Room{}
+	return kept
 }
 
 func withoutMemory(r availability.Room) availability.Room {
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -48,6 +48,7 @@
 	use      map[string]availability.Room // by team, of live attempts
 	live     map[string][]*attempt        // by team, those: what a team asks must not cost all machines
 	owed     map[string]owed              // by team, of its limit
+	kept     map[string]*Job              // by team, the job for whose first task room of the limit is kept
 	pledged  map[*work]int                // for how many tasks room is kept, at the last plan
 	cedes    map[string]bool              // teams that had something to cede at this plan; nil: not looked up
 	ceded    map[string]quota.Amounts     // by team: of use, what is told to stop for others' guarantees
@@ -78,7 +79,7 @@
 
 func (m *Member) newShard(name string, nonce, rev uint64) *shard {
 	s := &shard{name: name, nonce: nonce, base: rev, token: rev, dirty: true, board: planner.NewBoard(m.catalog),
-		squares: reconcile.New(reconcile.Settings{Report: m.reportGap(), Lease: ms(m.p.LeaseS), Drift: drift, Slack: leaseSlack}, rev, m.now.Steady), use: map[string]availability.Room{}, live: map[string][]*attempt{}, rest: map[string]float64{}, owed: map[string]owed{}, ceded: map[string]quota.Amounts{}, pledged: map[*work]int{}, soon: map[string]quota.Amounts{}, pages: map[string]*page{}}
+		squares: reconcile.New(reconcile.Settings{Report: m.reportGap(), Lease: ms(m.p.LeaseS), Drift: drift, Slack: leaseSlack}, rev, m.now.Steady), use: map[string]availability.Room{}, live: map[string][]*attempt{}, rest: map[string]float64{}, owed: map[string]owed{}, kept: map[string]*Job{}, ceded: map[string]quota.Amounts{}, pledged: map[*work]int{}, soon: map[string]quota.Amounts{}, pages: map[string]*page{}}
 	s.numbers.Rebase(rev, m.now.Wall)
 	return s
 }
@@ -126,6 +127,9 @@
 func (w *work) size() int    { return w.rng.Hi - w.rng.Lo }
 func (w *work) pending() int { return w.size() - w.nDone - w.nBusy }
 
+// begun tells whether a task of the range runs or is done.
+func (w *work) begun() bool { return w.nBusy > 0 || w.nDone > 0 }
+
 // next finds the lowest task that is neither done nor taken. All below low are.
 func (w *work) next() int {
 	for ; w.low < w.size(); w.low++ {
