Aging: a machine is asked for where a limit holds the first task up

Cause: what its team's limit holds up asks for no machines, so a large task for which only smaller machines were up never began while smaller tasks filled the limit, although room of the limit was kept for it. Change: with the room that is kept, a machine is asked for if none has room.

--- a/scheduler/aging.go
+++ b/scheduler/aging.go
@@ -66,13 +66,18 @@
 
 // keep keeps room of a team's limit together for the first task of a job that waited too
 // long to begin, one at a time. Otherwise smaller tasks would take what others give back
-// before it is enough.
-func (m *Member) keep(s *shard, j *Job) {
-	if s.kept[j.Team] != nil {
+// before it is enough. A machine is asked for too, since what a limit holds up asks for none.
+func (m *Member) keep(s *shard, g *group) {
+	if s.kept[g.j.Team] != nil {
 		return
 	}
-	if part, _, _ := m.part(s, j.Team); part.Fits(amountsOf(j.Request)) {
-		s.kept[j.Team] = j
+	part, _, _ := m.part(s, g.j.Team)
+	if !part.Fits(amountsOf(g.j.Request)) {
+		return
+	}
+	s.kept[g.j.Team] = g.j
+	if s.board.CouldStart(&g.Group, 1) == 0 {
+		s.needs = append(s.needs, Need{Job: g.j.ID, Count: 1, Deadline: g.Due, Length: g.Length})
 	}
 }
 
--- a/scheduler/aging_test.go
+++ b/scheduler/aging_test.go
@@ -136,3 +136,38 @@
 		w.check(t)
 	}
 }
+
+// Where smaller tasks take what others give back of a limit before it is enough for a
+// large one, its room is kept together: its first task starts all the same.
+func TestRoomOfALimitIsKeptTogether(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		p := params(64)
+		p.Teams = map[string]scheduler.Team{"t0": {MaxCPUs: 40}}
+		p.Aging = true
+		w := emulator.New(emulator.Options{Seed: 9000 + seed, Members: 3, Types: simTypes, Capacity: 4, Params: p, Loss: 0.002})
+		w.After(1000, func() {
+			s := scheduler.DefaultSettings()
+			s.BeginWithinS = 40
+			w.Members[0].Core.ChangeSettings(w.Members[0].Clock(), 1<<50, s)
+		})
+		submit := func(id string, tasks int, cpus float64) *emulator.Job {
+			j := emulator.NewJob(scheduler.Job{ID: id, Class: "batch", Team: "t0", Kind: scheduler.Array, Priority: scheduler.Normal,
+				Tasks: tasks, Request: availability.Room{CPUs: cpus, MemoryGB: 8, DiskGB: 1}, Image: "img-0", Spot: true, EstimateS: 6})
+			w.Submit(j)
+			return j
+		}
+		for n := range 110 {
+			w.After(5000+int64(n)*1000, func() { submit(fmt.Sprintf("job-%06d", n), 3, 4) })
+		}
+		var large *emulator.Job
+		w.After(30_000, func() { large = submit("job-900000", 4, 36) })
+		w.Run(125_000, func() bool { return false })
+		for rule, what := range w.Broken {
+			t.Errorf("seed %d: %s: %s", seed, rule, what)
+		}
+		if large.First == 0 || large.First-large.AcceptedAt > 60_000 {
+			t.Errorf("seed %d: the large job was accepted after %d ms and began after %d", seed, large.AcceptedAt, large.First)
+		}
+	}
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -263,7 +263,7 @@
 		}
 		cap := m.teamCopies(s, g.j, begun[g.j.Team])
 		if g.First && cap == 0 {
-			m.keep(s, g.j)
+			m.keep(s, g)
 		}
 		if cap < g.Left {
 			// More cannot run at once; asking for machines would not help.
