--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,7 @@
 	}
 	p.Recovery = set.Recovery.On
 	p.Quota = set.Quota.On
+	p.Aging = set.Aging.On
 	p.Rollout = set.Rollout.On
 	p.Debug = n.log.Enabled(context.Background(), slog.LevelDebug)
 	return p
