Access: the wait for the member's own rate is not the service's time

Cause: answer times were counted from when the core asked.

Change: the client of the state service says how long a request waited for its turn, and that is taken off.

--- a/access/access.go
+++ b/access/access.go
@@ -314,10 +314,11 @@
 // Ended.
 func (a *Access) Sent(now int64) (ticket Ticket) { return a.open.push(now) }
 
-// Ended notes how such a request ended.
-func (a *Access) Ended(now int64, t Ticket, o Outcome) {
+// Ended notes how such a request ended. What it waited for its turn in the member's own
+// rate is not the service's time.
+func (a *Access) Ended(now int64, t Ticket, queued int64, o Outcome) {
 	if sent := a.open.remove(t); o.Answered() {
-		a.took(float64(now - sent))
+		a.took(float64(max(0, now-sent-queued)))
 	}
 	a.Heard(now, o)
 }
--- a/access/access_test.go
+++ b/access/access_test.go
@@ -95,7 +95,7 @@
 				r := open[i]
 				open = slices.Delete(open, i, i+1)
 				o := rapid.SampledFrom(outcomes).Draw(t, "outcome")
-				a.Ended(now, r.ticket, o)
+				a.Ended(now, r.ticket, 0, o)
 				if o.Answered() && a.link != Up {
 					t.Fatalf("an answer leaves the link %v", a.link)
 				}
@@ -121,7 +121,7 @@
 		}
 		// All that is open ends; then whatever it was, it goes on.
 		for _, r := range open {
-			a.Ended(now, r.ticket, Unknown)
+			a.Ended(now, r.ticket, 0, Unknown)
 			switch r.kind {
 			case "hold":
 				a.Held(now, Unknown, 0)
@@ -169,7 +169,7 @@
 	for range 50 {
 		k := a.Sent(now)
 		now += 10
-		a.Ended(now, k, OK)
+		a.Ended(now, k, 0, OK)
 	}
 	if l := a.Late(); l != settings.Timeout/floorPart {
 		t.Errorf("overdue after %d ms with answers in 10", l)
@@ -181,11 +181,11 @@
 	if a.Link(now + 401); a.link != Doubtful {
 		t.Error("not doubtful though an answer is overdue")
 	}
-	a.Ended(now+500, k, OK)
+	a.Ended(now+500, k, 0, OK)
 	for range 50 {
 		k := a.Sent(now)
 		now += 700
-		a.Ended(now, k, OK)
+		a.Ended(now, k, 0, OK)
 	}
 	if l := a.Late(); l < 700 || l > settings.Timeout {
 		t.Errorf("overdue after %d ms with answers in 700", l)
@@ -255,7 +255,7 @@
 	for range 40 {
 		k := a.Sent(now)
 		now += 10
-		a.Ended(now, k, OK)
+		a.Ended(now, k, 0, OK)
 		now += 35
 		if !a.Answering(now) {
 			t.Fatalf("not answering at %d though answers come", now)
@@ -276,3 +276,18 @@
 		}
 	}
 }
+
+// A member that asks more than its rate allows waits for its own turn: answers are as
+// quick as before, and one that is lost is noticed as soon.
+func TestWaitingForTheRateIsNotTheServicesTime(t *testing.T) {
+	a := New(settings)
+	now := int64(1)
+	for range 50 {
+		k := a.Sent(now)
+		now += 900
+		a.Ended(now, k, 890, OK)
+	}
+	if a.Usual() > 50 || a.Late() != settings.Timeout/floorPart {
+		t.Errorf("answers in 10 ms behind a wait of 890 are usual within %d ms, overdue after %d", a.Usual(), a.Late())
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -45,9 +45,13 @@
 	if op.Urgency == scheduler.Reads || op.Urgency == scheduler.Answers {
 		patience = timeout
 	}
+	queued := time.Now()
 	s.budget.Put(int(op.Urgency), len(op.Changes), patience, func() {
+		waited := time.Since(queued)
 		status, body := client.Do(wire.StoreRequest(op), limit)
-		s.done(op.ID, wire.StoreResult(op, status, body))
+		r := wire.StoreResult(op, status, body)
+		r.QueueMS = waited.Milliseconds()
+		s.done(op.ID, r)
 	}, func(wait time.Duration) {
 		s.done(op.ID, scheduler.StoreResult{Outcome: scheduler.Throttled, RetryMS: wait.Milliseconds()})
 	})
--- a/scheduler/io.go
+++ b/scheduler/io.go
@@ -99,6 +99,7 @@
 	More    bool
 	Failed  []string // Conflict: the keys whose guards failed
 	RetryMS int64    // Throttled by the member's own budget: when there is room again
+	QueueMS int64    // how long the request waited for its turn in that budget
 }
 
 // CloudKind is an operation of the cloud.
--- a/scheduler/member.go
+++ b/scheduler/member.go
@@ -281,7 +281,7 @@
 	default:
 		t := m.acc.Sent(m.now.Steady)
 		m.store[op.ID] = func(r StoreResult) {
-			m.acc.Ended(m.now.Steady, t, r.Outcome)
+			m.acc.Ended(m.now.Steady, t, r.QueueMS, r.Outcome)
 			done(r)
 		}
 	}
