Relay: polls leave half of what may go to hurry to submissions

Cause: relays that only hurry an answer along are a tenth of all requests.

Change: polls leave half of the burst.

--- a/scheduler/accept_test.go
+++ b/scheduler/accept_test.go
@@ -216,3 +216,22 @@
 		}
 	}
 }
+
+// Polls leave a part of what may go to hurry to submissions: all of it went for polls
+// that waited for their turn in the member's own rate.
+func TestPollsLeaveRoomToHurry(t *testing.T) {
+	m := taking(t, 1000)
+	m.p.Relays = 100
+	m.peers["m1"] = &peerState{at: m.now.Steady, msg: PeerMessage{From: "m1", Serves: true}}
+	for n := range uint64(40) {
+		m.User(m.now, 100+n, UserRequest{Kind: Query, ID: "job-000100"})
+	}
+	m.User(m.now, 1, offered(1, "ops", Normal))
+	m.Take()
+	m.now.Steady += m.acc.Late() + 1
+	m.hurryQuestions()
+	relays := m.Take().Relays
+	if n := len(relays); n != hurryBurst-hurryKept+1 || relays[n-1].Request.Kind != Submit {
+		t.Errorf("%d requests go to a peer, the last %+v", n, relays[n-1].Request)
+	}
+}
--- a/scheduler/relay.go
+++ b/scheduler/relay.go
@@ -23,10 +23,12 @@
 
 // Relays that only hurry an answer along double what the state service is
 // asked. When it is slow for everybody that makes it worse, so they are a share
-// of all requests, and some more at first.
+// of all requests, and some more at first. Polls leave a part to submissions and
+// cancellations: many polls that wait for their turn in this member's rate took all.
 const (
 	hurryShare = 0.1
 	hurryBurst = 10
+	hurryKept  = hurryBurst / 2
 )
 
 // serves tells whether this member can answer users from the state service.
@@ -164,6 +166,9 @@
 		if m.now.Steady-q.at <= m.acc.Late() || m.hurry < 1 {
 			break
 		}
+		if q.r.Kind == Query && m.hurry < 1+hurryKept {
+			continue
+		}
 		if q.own && m.relay(q) {
 			m.hurry--
 		}
