--- a/access/access_test.go
+++ b/access/access_test.go
@@ -95,7 +95,7 @@
 				r := open[i]
 				open = slices.Delete(open, i, i+1)
 				o := rapid.SampledFrom(outcomes).Draw(t, "outcome")
-				a.Ended(now, r.ticket, o)
+				a.Ended(now, r.ticket, 0, o)
 				if o.Answered() && a.link != Up {
 					t.Fatalf("an answer leaves the link %v", a.link)
 				}
@@ -121,7 +121,7 @@
 		}
 		// All that is open ends; then whatever it was, it goes on.
 		for _, r := range open {
-			a.Ended(now, r.ticket, Unknown)
+			a.Ended(now, r.ticket, 0, Unknown)
 			switch r.kind {
 			case "hold":
 				a.Held(now, Unknown, 0)
@@ -134,7 +134,7 @@
 		if !ask.Hold && ask.Extend == 0 || !ask.List && !ask.Watch {
 			t.Fatalf("stuck with hold %v, mirror %v", a.hold, a.mirror)
 		}
-		if _, ok := a.open.oldest(); ok {
+		if _, ok := a.open.oldest(0); ok {
 			t.Fatal("a request is still thought to be under way")
 		}
 	})
@@ -169,7 +169,7 @@
 	for range 50 {
 		k := a.Sent(now)
 		now += 10
-		a.Ended(now, k, OK)
+		a.Ended(now, k, 0, OK)
 	}
 	if l := a.Late(); l != settings.Timeout/floorPart {
 		t.Errorf("overdue after %d ms with answers in 10", l)
@@ -181,11 +181,11 @@
 	if a.Link(now + 401); a.link != Doubtful {
 		t.Error("not doubtful though an answer is overdue")
 	}
-	a.Ended(now+500, k, OK)
+	a.Ended(now+500, k, 0, OK)
 	for range 50 {
 		k := a.Sent(now)
 		now += 700
-		a.Ended(now, k, OK)
+		a.Ended(now, k, 0, OK)
 	}
 	if l := a.Late(); l < 700 || l > settings.Timeout {
 		t.Errorf("overdue after %d ms with answers in 700", l)
@@ -245,3 +245,49 @@
 		}
 	}
 }
+
+// One answer that is lost, among others that come, is no reason to ask elsewhere. When
+// nothing comes any more, the requests since then tell, not the lost one.
+func TestALostAnswerIsNoReasonToAskElsewhere(t *testing.T) {
+	a := New(settings)
+	now := int64(1)
+	a.Sent(now) // never answered
+	for range 40 {
+		k := a.Sent(now)
+		now += 10
+		a.Ended(now, k, 0, OK)
+		now += 35
+		if !a.Answering(now) {
+			t.Fatalf("not answering at %d though answers come", now)
+		}
+	}
+	a.Sent(now)
+	if !a.Answering(now + a.Late()) {
+		t.Error("not answering before an answer is overdue")
+	}
+	if a.Answering(now + a.Late() + 1) {
+		t.Error("answering when an answer is overdue and none came since")
+	}
+	for _, o := range []Outcome{Refused, Unknown} {
+		b := New(settings)
+		b.Heard(1, o)
+		if b.Answering(2 + settings.Timeout) {
+			t.Errorf("answering after outcome %v", o)
+		}
+	}
+}
+
+// A member that asks more than its rate allows waits for its own turn: answers are as
+// quick as before, and one that is lost is noticed as soon.
+func TestWaitingForTheRateIsNotTheServicesTime(t *testing.T) {
+	a := New(settings)
+	now := int64(1)
+	for range 50 {
+		k := a.Sent(now)
+		now += 900
+		a.Ended(now, k, 890, OK)
+	}
+	if a.Usual() > 50 || a.Late() != settings.Timeout/floorPart {
+		t.Errorf("answers in 10 ms behind a wait of 890 are usual within %d ms, overdue after %d", a.Usual(), a.Late())
+	}
+}
