scheduler: machines of a member that cannot be reached are kept

Change: a machine that is silent alone is returned as before. While most of a shard's machines are silent, and for half a lease after, they are kept for as long as idle ones (idle_boots boot times after their lease): others would take a boot time to be there.

--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -247,6 +247,38 @@
 	return !noted
 }
 
+// silentTooLong tells whether a machine whose lease is over is to be returned. One that is
+// silent alone is at fault itself. Where most of a shard are, it is rather this member that
+// cannot be reached, and they come back one after the other when it can: they are kept for
+// as long as idle ones, since others would take a boot time to replace them.
+func (m *Member) silentTooLong(s *shard, mc *machine, t *MachineType) bool {
+	now, leaseEnd, patience := m.now.Steady, s.squares.LeaseEnd(mc.Machine), ms(m.p.LeaseS)/2
+	if now > max(leaseEnd, s.mostSilent)+patience {
+		return true
+	}
+	kept := patience
+	if t != nil {
+		kept = max(kept, ms(t.BootS*m.settings.IdleBoots))
+	}
+	return now > leaseEnd+kept
+}
+
+// mostAreSilent tells whether more than half of a shard's machines are silent that spoke to
+// this claim before.
+func (s *shard) mostAreSilent() bool {
+	silent, spoke := 0, 0
+	for _, mc := range s.machines {
+		switch mc.Standing() {
+		case reconcile.Silent:
+			silent++
+			spoke++
+		case reconcile.Squared:
+			spoke++
+		}
+	}
+	return silent*2 > spoke && silent > 1
+}
+
 // tickMachine takes note of silence and idleness.
 func (m *Member) tickMachine(s *shard, mc *machine) {
 	now := m.now.Steady
@@ -268,7 +300,7 @@
 	if mc.goneAt != 0 && mc.Squared() && mc.live == 0 {
 		m.drain(s, mc, "empty, on spot notice")
 	}
-	if mc.Standing() == reconcile.Silent && now > s.squares.LeaseEnd(mc.Machine)+ms(m.p.LeaseS)/2 {
+	if mc.Standing() == reconcile.Silent && m.silentTooLong(s, mc, t) {
 		m.drain(s, mc, "silent")
 	}
 	// Asked again each time: taken off the list, the machine takes work again.
--- a/scheduler/nights_test.go
+++ b/scheduler/nights_test.go
@@ -271,3 +271,48 @@
 	}
 	t.Logf("%d tasks failed", failed)
 }
+
+// A member is cut from its workers alone, for longer than their leases and half of one: most
+// of its machines are silent at once, and come back with it. Machines that end by themselves
+// are still returned.
+func TestACutMemberKeepsItsMachines(t *testing.T) {
+	t.Parallel()
+	silent, drained, back, alone := 0, 0, 0, 0
+	for seed := range uint64(*seeds / 4) {
+		w := build(smallScale, emulator.Options{Seed: 7700 + seed, RunMS: nightRunMS})
+		w.calm = true
+		const cutAt, cutMS = 60_000, 14_000
+		w.After(cutAt, func() {
+			w.Cuts = append(w.Cuts, emulator.Cut{A: w.member().Name, B: "w", Until: w.Now + cutMS, Loses: true})
+		})
+		const hangAt = 110_000
+		hung := false
+		w.After(hangAt, func() {
+			w.SomeUp(1, func(h *emulator.Host) {
+				if !hung {
+					h.HungTill, hung = w.Now+60_000, true
+				}
+			})
+		})
+		w.logs(func(_ *emulator.Member, l scheduler.LogLine) {
+			during := w.Now > cutAt && w.Now < hangAt
+			switch {
+			case l.Text == "machine silent past its lease" && during:
+				silent++
+			case l.Text == "machine in a new session" && during:
+				back++
+			case l.Text == "machine draining" && l.Args[len(l.Args)-1] == "silent" && during:
+				drained++
+			case l.Text == "machine draining" && l.Args[len(l.Args)-1] == "silent":
+				alone++
+			}
+		})
+		w.run(150_000, 400_000, 80)
+		w.check(t)
+		w.served(t)
+	}
+	if silent < *seeds/2 || drained*10 > silent || alone == 0 {
+		t.Errorf("of %d silent machines %d are drained, %d come back; %d drained that are silent alone", silent, drained, back, alone)
+	}
+	t.Logf("%d silent, %d drained, %d back, %d alone", silent, drained, back, alone)
+}
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -28,6 +28,7 @@
 	read       bool
 	numbers    reconcile.Numbers
 	squares    *reconcile.Claim // what is known of its machines
+	mostSilent int64            // when most of its machines were last silent past their lease
 	squared    bool             // nothing of earlier claims is unseen any more
 	pacedAt    int64
 	nextReturn int64 // no idle machine is returned before
@@ -516,6 +517,9 @@
 	m.keepRollout(s)
 	m.writeProgress(s)
 	m.writeUps(s)
+	if s.mostAreSilent() {
+		s.mostSilent = m.now.Steady
+	}
 	for _, mc := range s.machines {
 		m.tickMachine(s, mc)
 	}
