--- a/quota/quota.go
+++ b/quota/quota.go
@@ -236,8 +236,6 @@
 		given = given.Add(gifts[s])
 	}
 	lack := d.Use.Add(d.Wait).Sub(part.Sub(given)).Max(Amounts{}).Min(b.limit.Sub(part.Sub(given)).Max(Amounts{}))
-	free := part.Sub(given).Sub(d.Use).Max(Amounts{})
-	soon := lack.Min(d.Soon.Sub(free).Max(Amounts{}))
 	told := false
 	switch {
 	case !lack.some():
@@ -245,7 +243,7 @@
 	case d.Blind:
 		lack = mine.Amounts
 	default:
-		told = !asked || soon.some() && !mine.Soon.some() || lack.CPUs > mine.CPUs*riseWorth+small || lack.GPUs > mine.GPUs*riseWorth+small ||
+		told = !asked || lack.CPUs > mine.CPUs*riseWorth+small || lack.GPUs > mine.GPUs*riseWorth+small ||
 			lack.CPUs < mine.CPUs*fallWorth-small || lack.GPUs < mine.GPUs*fallWorth-small
 	}
 	if len(gifts) == 0 && !told {
@@ -272,7 +270,8 @@
 			if asked {
 				since = mine.Since
 			}
-			rec.Wants[shard] = Want{lack, soon, d.Unit.Sub(free).Max(Amounts{}).Min(lack), since}
+			free := part.Sub(given).Sub(d.Use).Max(Amounts{})
+			rec.Wants[shard] = Want{lack, lack.Min(d.Soon.Sub(free).Max(Amounts{})), d.Unit.Sub(free).Max(Amounts{}).Min(lack), since}
 		} else {
 			delete(rec.Wants, shard)
 		}
