--- a/scheduler/meetings_machines_test.go
+++ b/scheduler/meetings_machines_test.go
@@ -56,7 +56,7 @@
 					}
 					if h := w.Hosts[l.Args[5].(string)]; h != nil && w.Now-h.Rental.Since < 5000 {
 						showed["starts on new machines"]++
-						if w.Rand.IntN(8) == 0 {
+						if w.Rand.IntN(3) == 0 {
 							ends(m, "a start on a new machine")
 						}
 					}
