Limits: patience with a part that can't be used begins anew when nobody wants it

Cause: since when a shard keeps such a part was forgotten only where others wanted it at that moment, so after a spell without wants the first one got the part at once, and a large task lost what it had collected. TestPatienceBeginsAnewWhenNobodyWants: given after 500 ms before, not within 30 s now.

--- a/quota/patience_test.go
+++ b/quota/patience_test.go
@@ -41,6 +41,12 @@
 	return Demand{Use: Amounts{CPUs: use}, Wait: Amounts{CPUs: wait}, Soon: Amounts{CPUs: wait}, Unit: Amounts{CPUs: 4}}
 }
 
+// fourSmall is four tasks of b's, of which as many run as its part has room for.
+func (k *keepers) fourSmall() Demand {
+	use := min(16, float64(int(k.book.Part("b").CPUs/4)*4))
+	return smallTasks(use, 16-use)
+}
+
 // What a shard keeps and can't use goes to a shard that can, after a while and not before;
 // kept for ever, both waited (found by TestPairsOfTroubles: a job was left waiting for 91 s).
 func TestWhatCannotBeUsedIsKeptForAWhile(t *testing.T) {
@@ -50,10 +56,7 @@
 		k := newKeepers(p)
 		given := int64(0)
 		for k.now < 100_000 && given == 0 {
-			k.step(large, func() Demand {
-				use := min(16, float64(int(k.book.Part("b").CPUs/4)*4))
-				return smallTasks(use, 16-use)
-			})
+			k.step(large, k.fourSmall)
 			if k.book.Part("b").CPUs >= 16 {
 				given = k.now
 			}
@@ -86,3 +89,23 @@
 		t.Errorf("after %d ms the large task has %v of 60", k.now, k.book.Part("a"))
 	}
 }
+
+// What is kept counts from when others want it: a spell in which nobody did ends the wait.
+func TestPatienceBeginsAnewWhenNobodyWants(t *testing.T) {
+	const patience = 30_000
+	k := newKeepers(patience)
+	large := Demand{Use: Amounts{CPUs: 32}, Wait: Amounts{CPUs: 32}, Soon: Amounts{CPUs: 32}, Unit: Amounts{CPUs: 32}}
+	for k.now < 20_000 {
+		k.step(large, k.fourSmall)
+	}
+	for k.now < 60_000 {
+		k.step(large, func() Demand { return smallTasks(4, 0) })
+	}
+	again := k.now
+	for k.now < again+patience {
+		k.step(large, k.fourSmall)
+		if part := k.book.Part("a"); part.CPUs < 57 {
+			t.Fatalf("%d ms after it was wanted again, %v is left", k.now-again, part)
+		}
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -217,26 +217,7 @@
 	mine, asked := wants[shard]
 	part := b.divided()[shard]
 	spare := part.Sub(d.Use).Max(Amounts{})
-	gifts := map[string]Amounts{}
-	if spare.some() {
-		claims := []Claim{{Shard: shard, Soon: d.Soon.Min(d.Wait), All: d.Wait, Unit: d.Unit, Since: now}}
-		if asked {
-			claims[0].Since = mine.Since
-		}
-		for s, w := range wants {
-			if s != shard {
-				claims = append(claims, Claim{s, w.Soon.Min(w.Amounts), w.Amounts, w.Unit, w.Since})
-			}
-		}
-		if len(claims) > 1 {
-			gifts = Divide(spare, claims)
-			if b.keptTooLong(now, shard, gifts[shard], d.Unit) {
-				gifts = Divide(spare, claims[1:])
-			}
-			delete(gifts, shard)
-			maps.DeleteFunc(gifts, func(_ string, g Amounts) bool { return !g.some() })
-		}
-	}
+	gifts := b.divideSpare(now, shard, d, spare)
 	if len(wants) == 0 && shard == b.home {
 		b.lend(gifts, spare, d)
 	}
@@ -289,6 +270,35 @@
 	return b.out
 }
 
+// divideSpare gives what others want of what a shard does not use, in the order of Divide.
+func (b *Book) divideSpare(now int64, shard string, d Demand, spare Amounts) map[string]Amounts {
+	var wants map[string]Want
+	if b.rec != nil {
+		wants = b.rec.Wants
+	}
+	own := Claim{Shard: shard, Soon: d.Soon.Min(d.Wait), All: d.Wait, Unit: d.Unit, Since: now}
+	if mine, asked := wants[shard]; asked {
+		own.Since = mine.Since
+	}
+	var others []Claim
+	for s, w := range wants {
+		if s != shard {
+			others = append(others, Claim{s, w.Soon.Min(w.Amounts), w.Amounts, w.Unit, w.Since})
+		}
+	}
+	if !spare.some() || len(others) == 0 {
+		delete(b.idle, shard) // nobody waits for what it keeps
+		return map[string]Amounts{}
+	}
+	gifts := Divide(spare, append([]Claim{own}, others...))
+	if b.keptTooLong(now, shard, gifts[shard], d.Unit) {
+		gifts = Divide(spare, others)
+	}
+	delete(gifts, shard)
+	maps.DeleteFunc(gifts, func(_ string, g Amounts) bool { return !g.some() })
+	return gifts
+}
+
 // keptTooLong tells whether a shard has kept less than its next task needs for too long.
 // What it then gives away it collects anew.
 func (b *Book) keptTooLong(now int64, shard string, kept, unit Amounts) bool {
