--- /dev/null
+++ b/review/testdata/standin/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases are the cases of the review by name.
+var cases = map[string]func(record string){
+	"moved-range": movedRange,
+}
