--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -79,10 +79,13 @@
 	baton   uint64
 	tasks   map[string]*task // by task and attempt
 	done    map[string]bool
-	images  map[string]bool
-	leaseAt time.Time // when the last answered report was sent, or the session began
+	images  map[string]bool // that it has
+	leaseAt time.Time       // when the last answered report was sent, or the session began
 	node    int
 	changed bool
+	tokenAt time.Time            // when a higher token last counted as a change
+	fetches map[string]time.Time // when the fetch of an image ends
+	deadAt  time.Time
 	cut     bool // it reaches nobody, and nobody reaches it
 	dead    bool // the machine stopped
 	gone    bool // deleted
@@ -158,6 +161,9 @@
 		if time.Since(m.rented).Seconds() < f.bootS {
 			stance = "starting"
 		}
+		if m.dead && time.Since(m.deadAt) > 30*time.Second {
+			stance = "failed"
+		}
 		list = append(list, map[string]any{
 			"ref": id, "addr": m.addr, "hull": m.typ.Name, "marsh": m.marsh, "driftwood": false,
 			"stance": stance, "held_s": time.Since(m.rented).Seconds(),
@@ -207,6 +213,7 @@
 	m := &worker{
 		fleet: f, id: fmt.Sprintf("i-%06d", f.next), marsh: marsh, rented: time.Now(),
 		tasks: map[string]*task{}, done: map[string]bool{}, images: map[string]bool{},
+		fetches: map[string]time.Time{},
 	}
 	f.next++
 	for _, t := range f.types {
@@ -329,6 +336,17 @@
 	}
 }
 
+// seeToken keeps the highest token. It counts as a change at most once per half of a lease. The lock is held.
+func (m *worker) seeToken(baton uint64) {
+	if baton <= m.baton {
+		return
+	}
+	m.baton = baton
+	if time.Since(m.tokenAt).Seconds() >= m.fleet.leaseS/2 {
+		m.tokenAt, m.changed = time.Now(), true
+	}
+}
+
 type command struct {
 	Call  string  `json:"call"`
 	Chick string  `json:"chick"`
@@ -398,7 +416,11 @@
 	}
 	t.Stance, t.endsAt = "fetching", time.Now()
 	if !m.images[t.job.Plumage] {
-		t.endsAt = time.Now().Add(time.Duration(t.job.SizeGB / m.typ.PullGBps * float64(time.Second)))
+		// One fetch serves all tasks that need the image.
+		if m.fetches[t.job.Plumage].Before(time.Now()) {
+			m.fetches[t.job.Plumage] = time.Now().Add(time.Duration(t.job.SizeGB / m.typ.PullGBps * float64(time.Second)))
+		}
+		t.endsAt = m.fetches[t.job.Plumage]
 	}
 	return t
 }
@@ -508,9 +530,7 @@
 	if m.gone || m.dead || m.cut || b.Baton < m.baton || dive != m.dive {
 		return
 	}
-	if b.Baton > m.baton {
-		m.baton, m.changed = b.Baton, true
-	}
+	m.seeToken(b.Baton)
 	if sent.After(m.leaseAt) {
 		m.leaseAt = sent
 	}
@@ -550,9 +570,7 @@
 		w.Write(m.report())
 		return
 	}
-	if *b.Baton > m.baton {
-		m.baton, m.changed = *b.Baton, true
-	}
+	m.seeToken(*b.Baton)
 	m.execute(b.Calls)
 	m.advance()
 	w.Write(m.report())
@@ -583,7 +601,7 @@
 func (m *worker) stopMachine() {
 	m.fleet.rec.add("trouble: machine %s in %s stops with all that is on it", m.id, m.marsh)
 	m.dropTasks("stopped")
-	m.dead = true
+	m.dead, m.deadAt = true, time.Now()
 }
 
 // cutFor cuts a machine off the network for a while. Its tasks go on, and its lease runs.
