--- a/scheduler/range_assignment.go
+++ b/scheduler/range_assignment.go
@@ -285,7 +285,9 @@
 	targetShard := best.peerShard.Shard
 	rec := j.rec
 	rec.Ranges = rangesAfterMove(j.rec.Ranges, tr, tasks, targetShard)
-	pt.log(Debug, "moving tasks to peer shard", "job", j.rec.Job.ID, "tasks", tasks, "shard", targetShard)
+	pt.log(Debug, "moving tasks to peer shard",
+		"job", j.rec.Job.ID, "tasks", tasks, "shard", targetShard,
+		"range", tr.name(), "first_task", tr.bounds.Hi-tasks)
 	pt.writeMove(s, tr, j, rec, j.rev)
 }
 
--- a/scheduler/task_starts.go
+++ b/scheduler/task_starts.go
@@ -272,6 +272,7 @@
 		}
 	}
 	tr.recovered = false
+	am.log(Debug, "no unreported machine can run tasks of the range", "shard", s.name, "range", tr.name())
 	am.shards.failJobOnUnknownProgress(tr)
 	return false
 }
