Moves: a demand moves tasks of its own range, never of one that waits for an unreported machine

Cause: a job of more tasks than one range holds has several ranges in one shard. The first range waits for the unreachable machine, the second one is planned and reports a capacity demand for the job. moveUnplaceableTasks served it with the job's first movable range, and isMovable did not ask whether that range waits for an unreported machine.

Change: a demand keeps its range inside the member, a move takes tasks from that range alone, and isMovable refuses a range that waits or that is not current any more. The messages to the leader are the same.

--- a/scheduler/aging.go
+++ b/scheduler/aging.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "github.com/grebedock/grebedock/availability"
+import (
+	"github.com/grebedock/grebedock/availability"
+	"github.com/grebedock/grebedock/planner"
+)
 
 // Aging prevents the starvation of large jobs when there is more work than capacity. Admission
 // completes as many jobs as possible in time. Within a priority, a job that can no longer meet an
@@ -84,12 +87,7 @@
 	}
 	s.firstTaskReservations[g.job.Team] = g.job
 	if s.clusterView.CountStartable(&g.Group, 1) == 0 {
-		s.demand = append(s.demand, CapacityDemand{
-			Job:           g.job.ID,
-			Tasks:         1,
-			DeadlineMS:    g.DeadlineMS,
-			TaskRuntimeMS: g.LengthMS,
-		})
+		s.recordDemand(g, planner.CapacityDemand{Count: 1, DeadlineMS: g.DeadlineMS})
 	}
 }
 
--- a/scheduler/controller.go
+++ b/scheduler/controller.go
@@ -144,7 +144,8 @@
 
 	peers := c.peers
 	peers.cache, peers.store, peers.requests = c.cache, c.store, c.requests
-	peers.placer, peers.quotas, peers.shards = c.placer, c.quotas, c.shards
+	peers.agents, peers.placer = c.agents, c.placer
+	peers.quotas, peers.shards = c.quotas, c.shards
 }
 
 // newRecordHandlers returns the handlers of all kinds of live records, by key prefix.
--- a/scheduler/machine_lifecycle.go
+++ b/scheduler/machine_lifecycle.go
@@ -173,7 +173,7 @@
 // servesDemand reports whether a machine could run tasks of the shard's capacity demand. Demand that only other
 // offerings can serve does not prevent its release.
 func (am *agentManager) servesDemand(s *shard, mc *machine) bool {
-	return slices.ContainsFunc(s.demand, func(demand CapacityDemand) bool {
+	return slices.ContainsFunc(s.demand, func(demand rangeDemand) bool {
 		j := am.cache.jobs[demand.Job]
 		if j == nil || demand.SpotOnly && !mc.rec.Spot {
 			return false
--- a/scheduler/peer_messages.go
+++ b/scheduler/peer_messages.go
@@ -6,6 +6,7 @@
 // move to which peer's shards.
 type peerTable struct {
 	*environment
+	agents   *agentManager
 	cache    *stateCache
 	placer   *placementPlanner
 	quotas   *quotaManager
@@ -66,7 +67,10 @@
 			TaskCounts:        pt.shards.taskCounts(s),
 			DisruptionDemands: s.disruption.demands,
 		}
-		peerShard.Demands = append(append(peerShard.Demands, s.demand...), s.forecastDemand...)
+		for _, demand := range s.demand {
+			peerShard.Demands = append(peerShard.Demands, demand.CapacityDemand)
+		}
+		peerShard.Demands = append(peerShard.Demands, s.forecastDemand...)
 		for _, mc := range s.machines {
 			if mc.releasing {
 				peerShard.MachinesToRelease = append(peerShard.MachinesToRelease, mc.id)
--- a/scheduler/planning.go
+++ b/scheduler/planning.go
@@ -208,15 +208,23 @@
 		})
 	}
 	for _, missing := range placement.Demands {
-		s.demand = append(s.demand, CapacityDemand{
+		s.recordDemand(g, missing)
+	}
+	return placement.StartedTasks
+}
+
+// recordDemand records the demand for machines for tasks of a group.
+func (plan *shardPlan) recordDemand(g *taskGroup, missing planner.CapacityDemand) {
+	plan.demand = append(plan.demand, rangeDemand{
+		taskRange: g.taskRange,
+		CapacityDemand: CapacityDemand{
 			Job:           g.job.ID,
 			Tasks:         missing.Count,
 			DeadlineMS:    missing.DeadlineMS,
 			TaskRuntimeMS: g.LengthMS,
 			SpotOnly:      missing.SpotOnly,
-		})
-	}
-	return placement.StartedTasks
+		},
+	})
 }
 
 // availabilitySummary returns the availability of a shard's machines, as sent to peers.
--- a/scheduler/range_assignment.go
+++ b/scheduler/range_assignment.go
@@ -203,17 +203,19 @@
 // isMovable reports whether tasks of a range may move to a peer's shard. Tasks that came from a
 // peer do not move, nor do those of an at-most-once job that may have begun. After a takeover some
 // of the latter may be lost, which only the range that owned them can determine. When such tasks
-// moved before all machines had sent heartbeats, a lost task was started again by the peer.
+// moved before all machines had sent heartbeats, a lost task was started again by the peer. A range
+// that may still run on an unreported machine does not move either, because the peer would start its
+// tasks a second time.
 func (pt *peerTable) isMovable(s *shard, tr *taskRange) bool {
 	j := tr.job
-	if pt.cache.jobs[j.rec.Job.ID] != j || j.recordWritePending || len(j.rec.Ranges) >= pt.maxJobRanges() {
+	if !pt.cache.isCurrent(tr) || j.recordWritePending || len(j.rec.Ranges) >= pt.maxJobRanges() {
 		return false
 	}
 	mayNotRestart := j.rec.Job.AtMostOnce && j.rec.MayHaveBegun
 	if mayNotRestart || j.rec.Job.requiresOneShard() {
 		return false
 	}
-	if tr.bounds.MovedFromPeer || tr.moving || tr.writing {
+	if tr.bounds.MovedFromPeer || tr.moving || tr.writing || pt.agents.isBlockedByUnreported(s, tr) {
 		return false
 	}
 	return pt.quotas.fitsTeamAllocation(s, j.rec.Job.Team)
@@ -237,15 +239,8 @@
 		}
 	}
 	for _, demand := range s.demand {
-		j := pt.cache.jobs[demand.Job]
-		if demand.SpotOnly || j == nil {
-			continue
-		}
-		for _, tr := range sortedByKey(j.taskRanges) {
-			if tr.shardName == s.name && pt.isMovable(s, tr) {
-				pt.moveTasksToPeer(s, tr, demand.Tasks, demand.TaskRuntimeMS, demand.DeadlineMS)
-				break
-			}
+		if !demand.SpotOnly && pt.isMovable(s, demand.taskRange) {
+			pt.moveTasksToPeer(s, demand.taskRange, demand.Tasks, demand.TaskRuntimeMS, demand.DeadlineMS)
 		}
 	}
 }
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -116,10 +116,17 @@
 	queue          []*taskGroup
 	reservedTasks  map[*taskRange]int // tasks with a reservation on a machine
 	remainingWork  map[string]float64 // by team: remaining work of live attempts, in CPU milliseconds
-	demand         []CapacityDemand
+	demand         []rangeDemand
 	forecastDemand []CapacityDemand // for tasks that will not end before their machine terminates
 }
 
+// rangeDemand is a capacity demand with the range whose tasks need the capacity. A job may have several
+// ranges in a shard, and a demand says nothing about the others.
+type rangeDemand struct {
+	CapacityDemand
+	taskRange *taskRange
+}
+
 // startObjectiveReserve is the capacity kept free for jobs with a start objective,
 // in CPUs.
 type startObjectiveReserve struct {
--- a/scheduler/submission_test.go
+++ b/scheduler/submission_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"github.com/grebedock/grebedock/availability"
-	"github.com/grebedock/grebedock/planner"
 )
 
 // newAcceptingController returns a member that accepts submissions at a rate, in changes per second.
@@ -164,23 +163,15 @@
 	for _, mayHaveStarted := range []bool{false, true} {
 		ctrl, s, _ := newControllerWithShard(t)
 		ctrl.params.Teams = map[string]Team{"ops": {}}
-		ctrl.cache.shardClaims["m1"] = claimRecord{Owner: "m1"}
-		free := availability.Function{
-			Kind:      planner.InstanceOffering{Type: "small", Zone: "a"}.Key(),
-			Count:     10,
-			Resources: availability.Resources{CPUs: 8, MemoryGB: 32},
-			Samples:   []availability.Sample{{TimeMS: 1000}, {TimeMS: 901_000, AvailableMS: 900_000}},
-		}
-		peerShard := PeerShard{Shard: "m1", Summary: availability.Summary{free}}
-		ctrl.peers.peers["m1"] = &peerState{
-			receivedAtMS: 1000,
-			message:      PeerMessage{From: "m1", OwnedShards: []PeerShard{peerShard}},
-		}
+		addPeerWithCapacity(ctrl, 1000)
 		j := newSubmission(1, "ops", Normal).Job
 		j.AtMostOnce, j.Tasks = true, 4
 		rec := jobRecord{Job: *j, MayHaveBegun: mayHaveStarted, Ranges: []Range{{0, 4, "m0", false}}}
 		putRecord(ctrl, jobKey(j.ID), rec, 20)
-		s.demand = []CapacityDemand{{Job: j.ID, Tasks: 4, DeadlineMS: 800_000, TaskRuntimeMS: 10_000}}
+		s.demand = []rangeDemand{{
+			taskRange:      ctrl.cache.jobs[j.ID].taskRanges[0],
+			CapacityDemand: CapacityDemand{Job: j.ID, Tasks: 4, DeadlineMS: 800_000, TaskRuntimeMS: 10_000},
+		}}
 		ctrl.TakeOutputs()
 		ctrl.peers.moveUnplaceableTasks(s)
 		if moved := len(ctrl.TakeOutputs().StoreOps) > 0; moved == mayHaveStarted {
