Zones: same_place and spread count the tasks of all ranges of a job

Cause: one shard owns all tasks of such a job, in several ranges. isZoneAllowed and zoneAllowance counted the live attempts of one range, so a range without attempts was allowed in every zone. Class: a property of the job is decided by the state of one range.

Change: the counts are summed over the job's ranges, and the groups of a job share the tasks that one plan places. No change for a job of one range.

--- a/planner/candidate_search.go
+++ b/planner/candidate_search.go
@@ -166,7 +166,6 @@
 			search.imageMachines = v.machinesWithImage(g.Request.Image)
 		}
 	}
-	g.placedByZone, g.placed = nil, 0
 	search.collectCandidates()
 	search.heapify()
 	return search
--- a/planner/group.go
+++ b/planner/group.go
@@ -53,7 +53,8 @@
 	IsGang, SingleZone, SpreadZones bool
 	IncompleteGang                  bool // not all tasks of the gang may start
 	GangAttempt                     GangAttempt
-	RunningByZone                   map[string]int // running tasks by zone, for jobs with a zone constraint
+	RunningByZone                   map[string]int // the job's running tasks by zone, if it has a zone constraint
+	PlacedByZone                    map[string]int // tasks placed in this round; all groups of the job share the map
 	FailuresByMachine               map[string]int // number of failures of the job by machine ID
 	ProvisionLimit                  int            // maximum number of tasks for which machines may be requested
 }
@@ -63,39 +64,37 @@
 	Waiting            int  // number of tasks that do not start now
 	ProvisionRequested int  // number of tasks for which machines are requested
 	SpotInsufficient   bool // spot machines cannot finish all of the group's tasks in time
-
-	placedByZone map[string]int // tasks placed in this round, for a group with a zone constraint
-	placed       int
 }
 
-// zoneAllowance returns how many tasks of the group its zone constraint allows on a machine, counting tasks that the
-// round has already placed.
+// zoneAllowance returns how many tasks of the group its zone constraint allows on a machine, counting tasks of the job
+// that run or that the round has already placed.
 func (g *Group) zoneAllowance(m *Machine) int {
-	if !g.SingleZone && !g.SpreadZones {
-		return g.Remaining
-	}
-	running, elsewhere := g.RunningByZone[m.Offering.Zone], 0
-	for zone, n := range g.RunningByZone {
-		if zone != m.Offering.Zone {
-			elsewhere += n
-		}
-	}
-	here := g.placedByZone[m.Offering.Zone]
-	if g.SingleZone && (elsewhere > 0 || g.placed > here) {
+	zone := m.Offering.Zone
+	if g.SingleZone && (tasksOutside(zone, g.RunningByZone) > 0 || tasksOutside(zone, g.PlacedByZone) > 0) {
 		return 0
 	}
 	if g.SpreadZones {
-		return max(0, (g.JobTasks+1)/2-running-here)
+		return max(0, (g.JobTasks+1)/2-g.RunningByZone[zone]-g.PlacedByZone[zone])
 	}
 	return g.Remaining
 }
 
+// tasksOutside returns the number of tasks in all zones except one.
+func tasksOutside(zone string, tasksByZone map[string]int) int {
+	outside := 0
+	for other, n := range tasksByZone {
+		if other != zone {
+			outside += n
+		}
+	}
+	return outside
+}
+
 func (g *Group) recordPlaced(m *Machine, n int) {
-	if g.placedByZone == nil {
-		g.placedByZone = map[string]int{}
+	if g.PlacedByZone == nil {
+		g.PlacedByZone = map[string]int{}
 	}
-	g.placedByZone[m.Offering.Zone] += n
-	g.placed += n
+	g.PlacedByZone[m.Offering.Zone] += n
 }
 
 // hasFailedOn reports whether the job failed on a machine. The group is not placed on such a machine.
--- a/planner/placement_test.go
+++ b/planner/placement_test.go
@@ -186,6 +186,53 @@
 	}
 }
 
+// Groups of one job share its zones: a later group counts the tasks of the job that run, and those that the earlier
+// group placed.
+func TestGroupsOfOneJobShareItsZoneConstraint(t *testing.T) {
+	place := func(running map[string]int, constrain func(*Constraints)) (startsByZone map[string]int) {
+		view := NewClusterView(NewCatalog())
+		capacity := availability.Resources{CPUs: 8, MemoryGB: 16}
+		view.catalog.SetTypes(MachineType{Name: "t", Resources: capacity, Zones: []string{"a", "b"}})
+		view.PacedStartsLeft = 100
+		view.Begin(startMS)
+		for _, zone := range []string{"a", "b"} {
+			m := view.AddMachine("in "+zone, InstanceOffering{Type: "t", Zone: zone}, nil)
+			m.Ready, m.ReadyAtMS, m.Free = true, startMS, capacity
+		}
+		view.FinishAdding()
+		placedByZone := map[string]int{}
+		startsByZone = map[string]int{}
+		for range 2 {
+			g := Group{
+				Request:             ResourceRequest{Resources: availability.Resources{CPUs: 1, MemoryGB: 1}},
+				Remaining:           6,
+				JobTasks:            12,
+				LengthMS:            1000,
+				AcceptedMS:          startMS,
+				ObjectiveDeadlineMS: startMS + 1500,
+				DeadlineMS:          startMS + 1500,
+				Constraints:         Constraints{RunningByZone: running, PlacedByZone: placedByZone},
+			}
+			constrain(&g.Constraints)
+			for _, start := range view.Place(&g, 0).Starts {
+				startsByZone[view.machines[start.MachineIndex].Offering.Zone] += start.Count
+			}
+		}
+		return startsByZone
+	}
+	singleZone := func(c *Constraints) { c.SingleZone = true }
+	if starts := place(nil, singleZone); len(starts) != 1 {
+		t.Errorf("starts of a job in a single zone: got %v, want one zone", starts)
+	}
+	if starts := place(map[string]int{"b": 1}, singleZone); len(starts) != 1 || starts["b"] == 0 {
+		t.Errorf("starts of a job in a single zone that runs in b: got %v, want b alone", starts)
+	}
+	if starts := place(map[string]int{"b": 2}, func(c *Constraints) { c.SpreadZones = true }); starts["a"] != 6 ||
+		starts["b"] != 4 {
+		t.Errorf("starts of 12 tasks spread over the zones, 2 more run in b: got %v, want 6 in a and 4 in b", starts)
+	}
+}
+
 // A machine keeps its most recently used images, up to the capacity of its cache.
 func TestLeastRecentlyUsedImagesAreEvicted(t *testing.T) {
 	view := NewClusterView(NewCatalog())
--- a/planner/reference_test.go
+++ b/planner/reference_test.go
@@ -36,7 +36,6 @@
 
 func (r referencePlanner) place(g *Group, lateShare float64) Placement {
 	v := r.view
-	g.placedByZone, g.placed = nil, 0
 	s := &referenceSearch{v: v, g: g, request: g.Request.WithoutImage()}
 	for _, m := range v.machines {
 		if v.catalog.IsAllowed(&g.Request, m.Offering) && g.FailuresByMachine[m.ID] == 0 {
--- a/scheduler/task_groups.go
+++ b/scheduler/task_groups.go
@@ -99,15 +99,32 @@
 				IsGang:            j.Kind == Gang,
 				SingleZone:        j.OneZone,
 				SpreadZones:       j.Spread,
-				RunningByZone:     tr.attemptsByZone,
 				FailuresByMachine: tr.errorsByMachine,
 			},
 		},
 	}
 	g.ObjectiveDeadlineMS, g.DeadlineMS, g.MissedObjectives = pp.taskDeadlines(j, g.AcceptedMS, g.LengthMS)
+	if j.OneZone || j.Spread {
+		g.RunningByZone = tr.job.attemptsByZone()
+	}
 	return g
 }
 
+// shareZones makes the groups of each job with a zone constraint count the tasks that they place together. A
+// job has several groups if it has several ranges in the shard.
+func shareZones(groups []*taskGroup) {
+	placedByJob := map[string]map[string]int{}
+	for _, g := range groups {
+		if !g.SingleZone && !g.SpreadZones {
+			continue
+		}
+		if placedByJob[g.Name] == nil {
+			placedByJob[g.Name] = map[string]int{}
+		}
+		g.PlacedByZone = placedByJob[g.Name]
+	}
+}
+
 func sortTaskGroups(groups []*taskGroup) {
 	planner.SortGroups(groups, func(g *taskGroup) *planner.Group { return &g.Group })
 }
@@ -128,6 +145,7 @@
 		g.HasObjective = g.ObjectiveDeadlineMS < g.DeadlineMS && g.ObjectiveDeadlineMS-g.LengthMS >= pp.now.WallMS
 		out = append(out, g)
 	}
+	shareZones(out)
 	sortTaskGroups(out)
 	if pp.admitToTeamLimits(s, out) {
 		sortTaskGroups(out)
--- a/scheduler/task_ranges.go
+++ b/scheduler/task_ranges.go
@@ -16,6 +16,21 @@
 	awaitingBegunRecord bool               // at-most-once: a task waits for the record that tasks may have started
 }
 
+// attemptsByZone returns the numbers of the job's live attempts by zone, over all of its ranges in owned
+// shards. For a job with a zone constraint these are all of its ranges. The caller must not modify the map.
+func (j *job) attemptsByZone() map[string]int {
+	sum := map[string]int{}
+	for _, tr := range j.taskRanges {
+		if len(j.taskRanges) == 1 {
+			return tr.attemptsByZone
+		}
+		for zone, n := range tr.attemptsByZone {
+			sum[zone] += n
+		}
+	}
+	return sum
+}
+
 // applyJobRecord applies a change of a live job's stored record. If the record cannot be decoded,
 // it returns the decoder's error and changes nothing.
 func (sm *shardManager) applyJobRecord(kv KeyValue) error {
--- a/scheduler/task_starts.go
+++ b/scheduler/task_starts.go
@@ -254,7 +254,7 @@
 	if am.isBlockedByUnreported(s, tr) || am.hasProbeRunning(tr) || !am.shards.failurePolicyAllowsStart(tr) {
 		return false
 	}
-	return tr.isZoneAllowed(mc.rec.Zone) && am.quotas.isWithinTeamLimit(s, j)
+	return tr.job.isZoneAllowed(mc.rec.Zone) && am.quotas.isWithinTeamLimit(s, j)
 }
 
 // hasAttemptIDs reports whether attempt IDs are left for further starts.
@@ -279,19 +279,20 @@
 
 // isZoneAllowed reports whether a one-zone or spread job permits another task in a zone, given the
 // zones of its other tasks. One shard owns all tasks of such a job.
-func (tr *taskRange) isZoneAllowed(zone string) bool {
-	j := &tr.job.rec.Job
-	if !j.requiresOneShard() {
+func (j *job) isZoneAllowed(zone string) bool {
+	spec := &j.rec.Job
+	if !spec.OneZone && !spec.Spread {
 		return true
 	}
-	inZone, inOtherZones := tr.attemptsByZone[zone], 0
-	for z, n := range tr.attemptsByZone {
-		if z != zone {
+	attempts := j.attemptsByZone()
+	inOtherZones := 0
+	for other, n := range attempts {
+		if other != zone {
 			inOtherZones += n
 		}
 	}
-	if j.OneZone && inOtherZones > 0 {
+	if spec.OneZone && inOtherZones > 0 {
 		return false
 	}
-	return !j.Spread || inZone < (j.Tasks+1)/2
+	return !spec.Spread || attempts[zone] < (spec.Tasks+1)/2
 }
