Zones: a range of a same_place or spread job waits while another range may run on an unreported machine

What callers would see (wrong_place): after a takeover, one range of a job may run on an unreachable machine. The job's other range did not wait for it and started in any zone, since the zone of the tasks there was not counted yet.

Cause: isBlockedByUnreported asked for one range, the constraint is one of the job.

Change: for jobs whose tasks depend on each other (requiresOneShard), it asks for all ranges of the job. Other jobs, and jobs of one range, are as before.

Test: TestZoneConstraintsCountTasksOfAllRanges, on the commit before: one zone, unreported: 0 starts in zone a and 4 in zone b, want 0 and 0 spread, unreported: 1 starts in zone a and 3 in zone b, want 0 and 0

--- a/scheduler/task_starts.go
+++ b/scheduler/task_starts.go
@@ -260,9 +260,23 @@
 // hasAttemptIDs reports whether attempt IDs are left for further starts.
 func (am *agentManager) hasAttemptIDs(s *shard) bool { return !s.attemptIDs.IsExhausted(am.now.WallMS) }
 
-// isBlockedByUnreported reports whether tasks of a range may still run on an unreported machine.
-// Once none can, the range no longer counts as recovered.
+// isBlockedByUnreported reports whether tasks of a range wait for an unreported machine, on which some
+// of them may still run. If the placement of a task depends on the job's other tasks, the range also
+// waits while tasks of the job's other ranges may run there: their zones are unknown.
 func (am *agentManager) isBlockedByUnreported(s *shard, tr *taskRange) bool {
+	if !tr.job.rec.Job.requiresOneShard() || len(tr.job.taskRanges) == 1 {
+		return am.mayRunUnreported(s, tr)
+	}
+	blocked := false
+	for _, other := range sortedByKey(tr.job.taskRanges) {
+		blocked = am.mayRunUnreported(s, other) || blocked
+	}
+	return blocked
+}
+
+// mayRunUnreported reports whether tasks of a range may still run on an unreported machine. Once none
+// can, the range no longer counts as recovered.
+func (am *agentManager) mayRunUnreported(s *shard, tr *taskRange) bool {
 	if !tr.recovered {
 		return false
 	}
--- a/scheduler/zone_constraints_test.go
+++ b/scheduler/zone_constraints_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"github.com/grebedock/grebedock/reconcile"
 )
 
 // newControllerWithZones returns a member that owns its own shard, with the machine i-1 in zone a and the machine
@@ -32,12 +34,13 @@
 }
 
 // Guards against wrong_place: a job with a zone constraint has two ranges in a shard, and tasks of the first one run in
-// zone a. The zones of the second one were checked without them.
+// zone a or may run on an unreported machine. The zones of the second one were checked without them.
 func TestZoneConstraintsCountTasksOfAllRanges(t *testing.T) {
 	for _, c := range []struct {
 		name                 string
 		constraint           func(*Job)
 		running              []string // tasks on i-1
+		unreportedRange      string   // range in the ledger entry of an unreported machine
 		startsInA, startsInB int
 	}{
 		{name: "one zone", constraint: func(j *Job) { j.OneZone = true }, running: []string{"/0"}, startsInA: 5},
@@ -45,6 +48,9 @@
 		{name: "spread", constraint: func(j *Job) { j.Spread = true }, running: []string{"/0", "/1"}, startsInA: 1, startsInB: 3},
 		{name: "spread, nothing runs", constraint: func(j *Job) { j.Spread = true }, startsInA: 3, startsInB: 3},
 		{name: "no constraint", constraint: func(*Job) {}, running: []string{"/0"}, startsInB: 5},
+		{name: "one zone, unreported", constraint: func(j *Job) { j.OneZone = true }, unreportedRange: "/0"},
+		{name: "spread, unreported", constraint: func(j *Job) { j.Spread = true }, unreportedRange: "/0"},
+		{name: "no constraint, unreported", constraint: func(*Job) {}, unreportedRange: "/0", startsInB: 4},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ctrl, s := newControllerWithZones(t)
@@ -52,6 +58,14 @@
 			c.constraint(&rec.Job)
 			id := rec.Job.ID
 			putRecord(ctrl, jobKey(id), rec, 40)
+			if c.unreportedRange != "" {
+				unreported := addUnreportedMachine(ctrl, false)
+				entry := reconcile.UnreachableMachine{Ranges: []string{id + c.unreportedRange}}
+				s.reconciler.Ledger.Restore(map[string]reconcile.UnreachableMachine{unreported.id: entry})
+				for _, tr := range ctrl.cache.jobs[id].taskRanges {
+					tr.recovered = true
+				}
+			}
 			var running []TaskStatus
 			for i, suffix := range c.running {
 				running = append(running, TaskStatus{Task: id + suffix, Attempt: uint64(9+i) << 28, State: "running"})
