Preemption: whether a job may be delayed counts the work of all its ranges in the shard

What users would see: a task of a higher priority stops tasks of a large job that could still meet its deadline, and the job misses it. Change: the ranges' pending and running work is summed by job. A job of one range is as before.

--- a/scheduler/team_preemption.go
+++ b/scheduler/team_preemption.go
@@ -26,7 +26,7 @@
 // entitles reports whether work of a priority may use the released part of the limit.
 func (d *preemptionDebt) entitles(p Priority) bool { return p >= d.priority }
 
-// noDeadlineSlackMS is the slack of a range that has already missed all of its deadlines: over 30
+// noDeadlineSlackMS is the slack of a job that has already missed all of its deadlines: over 30
 // years.
 const noDeadlineSlackMS = 1 << 40
 
@@ -45,43 +45,53 @@
 	return a.job.Priority < p && a.job.Kind == Array && losesNothing
 }
 
-// preemptibleRanges returns a team's ranges that can wait while a group uses the team's limit, each
-// with its slack in milliseconds. It applies the rule of admission to running tasks: every deadline
+// preemptibleJobs returns a team's jobs that can wait while a group uses the team's limit, each with its
+// slack in milliseconds. It applies the rule of admission to running tasks: every deadline
 // that can be met now must still be met. Without the rule, a burst of short jobs kept long jobs from
 // ever ending in time. Tasks of at-most-once jobs are not stopped.
-func (pp *placementPlanner) preemptibleRanges(s *shard, g *taskGroup) map[*taskRange]int64 {
+func (pp *placementPlanner) preemptibleJobs(s *shard, g *taskGroup) map[*job]int64 {
 	allocation, t, limited := pp.quotas.teamAllocation(s, g.job.Team)
 	if !limited || t.MaxCPUs <= 0 || allocation.CPUs <= 0 {
 		return nil
 	}
 	wall := pp.now.WallMS
 	delay := max(g.LengthMS, int64(float64(g.Remaining)*g.job.Request.CPUs/allocation.CPUs*float64(g.LengthMS)))
-	remainingMS := map[*taskRange]float64{}
+	remainingMS := map[*job]float64{}
 	for _, a := range s.liveAttempts[g.job.Team] {
 		if !a.job.AtMostOnce && a.job.Priority < g.job.Priority {
-			remainingMS[a.taskRange] += float64(a.expectedEnd(wall) - wall)
+			remainingMS[a.taskRange.job] += float64(a.expectedEnd(wall) - wall)
 		}
 	}
-	out := map[*taskRange]int64{}
-	for tr, remaining := range remainingMS {
-		if slackMS, ok := pp.slackIfDelayable(tr, remaining, delay, allocation.CPUs); ok {
-			out[tr] = slackMS
+	out := map[*job]int64{}
+	for j, remaining := range remainingMS {
+		remaining += float64(s.pendingTasks(j)) * float64(pp.estimates.expectedRuntime(&j.rec.Job))
+		if slackMS, ok := pp.slackIfDelayable(j, remaining, delay, allocation.CPUs); ok {
+			out[j] = slackMS
 		}
 	}
 	return out
 }
 
-// slackIfDelayable returns the time between a range's expected end and its deadline, if the given
+// pendingTasks returns the number of a job's tasks in a shard that are neither done nor assigned.
+func (s *shard) pendingTasks(j *job) (pending int) {
+	for _, tr := range j.taskRanges {
+		if tr.claim == s {
+			pending += tr.pending()
+		}
+	}
+	return pending
+}
+
+// slackIfDelayable returns the time between a job's expected end and its deadline, if the given
 // number of CPUs of its team's limit serve it. The delay is not subtracted. ok is false if the delay
-// would make the range miss its deadline. runningMS is the remaining runtime of the range's live
-// attempts.
+// would make the job miss its deadline. remainingMS is the remaining runtime of the job's tasks.
 func (pp *placementPlanner) slackIfDelayable(
-	tr *taskRange,
-	runningMS float64,
+	liveJob *job,
+	remainingMS float64,
 	delay int64,
 	cpus float64,
 ) (slackMS int64, ok bool) {
-	j, accepted := &tr.job.rec.Job, tr.job.rec.AcceptedAtMS
+	j, accepted := &liveJob.rec.Job, liveJob.rec.AcceptedAtMS
 	runtimeMS := pp.estimates.expectedRuntime(j)
 	// Estimates can be wrong by half. A deadline therefore counts as missed only if a task that
 	// starts now and takes half its expected runtime ends after it. The slack, by contrast, is
@@ -90,8 +100,7 @@
 	if missed {
 		return noDeadlineSlackMS, true
 	}
-	remaining := runningMS + float64(tr.pending())*float64(runtimeMS)
-	duration := max(runtimeMS, int64(remaining*j.Request.CPUs/cpus*planner.RuntimePadding))
+	duration := max(runtimeMS, int64(remainingMS*j.Request.CPUs/cpus*planner.RuntimePadding))
 	delayed := duration + delay + secondsToMS(j.CheckpointDurationS)
 	_, delayedDeadline, missedByDelay := pp.taskDeadlines(j, accepted, delayed)
 	if delayedDeadline != deadline || missedByDelay {
@@ -106,7 +115,7 @@
 func (pp *placementPlanner) preemptibleResources(
 	s *shard,
 	g *taskGroup,
-	ranges map[*taskRange]int64,
+	jobs map[*job]int64,
 ) (preemptible, pendingRelease availability.Resources) {
 	for _, a := range s.liveAttempts[g.job.Team] {
 		if !a.machine.IsReconciled() {
@@ -114,7 +123,7 @@
 		}
 		if a.stopRequested {
 			pendingRelease = pendingRelease.Add(a.job.Request)
-		} else if _, ok := ranges[a.taskRange]; ok && a.isPreemptibleBy(g.job.Priority) {
+		} else if _, ok := jobs[a.taskRange.job]; ok && a.isPreemptibleBy(g.job.Priority) {
 			preemptible = preemptible.Add(a.job.Request)
 		}
 	}
@@ -137,7 +146,7 @@
 	if limit <= 0 {
 		return 0
 	}
-	preemptible, pendingRelease := pp.preemptibleResources(s, g, pp.preemptibleRanges(s, g))
+	preemptible, pendingRelease := pp.preemptibleResources(s, g, pp.preemptibleJobs(s, g))
 	total := preemptible.Add(pendingRelease)
 	total.MemoryGB = unlimitedAmount
 	return total.MaxCopies(req, limit)
@@ -160,7 +169,7 @@
 // preemptionVictim is an attempt that may be stopped for a higher priority.
 type preemptionVictim struct {
 	attempt *attempt
-	slackMS int64 // time between the expected end of its range and the deadline
+	slackMS int64 // time between the expected end of its job and the deadline
 }
 
 func comparePreemptionVictims(x, y preemptionVictim) int {
@@ -171,15 +180,15 @@
 	)
 }
 
-// preemptionVictims returns the attempts that may be stopped for a group. Attempts of ranges with
+// preemptionVictims returns the attempts that may be stopped for a group. Attempts of jobs with
 // the most slack, or with no deadline left to miss, come first.
 func (pp *placementPlanner) preemptionVictims(
 	s *shard,
 	g *taskGroup,
-	ranges map[*taskRange]int64,
+	jobs map[*job]int64,
 ) (victims []preemptionVictim) {
 	for _, a := range s.liveAttempts[g.job.Team] {
-		slackMS, ok := ranges[a.taskRange]
+		slackMS, ok := jobs[a.taskRange.job]
 		isMachineUsable := a.machine.IsReconciled() && a.machine.terminatesAt == 0
 		if !ok || !isMachineUsable || a.stopRequested || !a.isPreemptibleBy(g.job.Priority) {
 			continue
@@ -198,15 +207,15 @@
 // their team's limit. Resources that are already being released count towards that.
 func (pp *placementPlanner) preempt(s *shard, g *taskGroup, n int) {
 	req := withoutDisk(g.job.Request)
-	ranges := pp.preemptibleRanges(s, g)
-	_, pendingRelease := pp.preemptibleResources(s, g, ranges)
+	jobs := pp.preemptibleJobs(s, g)
+	_, pendingRelease := pp.preemptibleResources(s, g, jobs)
 	pendingRelease.MemoryGB = unlimitedAmount
 	n -= pendingRelease.MaxCopies(req, n)
 	if n <= 0 {
 		return
 	}
 	var freed availability.Resources
-	for _, victim := range pp.preemptionVictims(s, g, ranges) {
+	for _, victim := range pp.preemptionVictims(s, g, jobs) {
 		freed.MemoryGB = unlimitedAmount
 		if freed.MaxCopies(req, n) >= n {
 			break
