Aging: a job has begun if any of its ranges has, or if one is done

What users would see: the first task of a large job ranks before other tasks of its priority although tasks of the job run or are done already. Ranges at peers are not known here and count as before.

--- a/planner/group.go
+++ b/planner/group.go
@@ -29,7 +29,7 @@
 	AcceptedMS          int64
 	ObjectiveDeadlineMS int64 // latest end of a task that meets the start objective; DeadlineMS without one
 	DeadlineMS          int64
-	HasBegun            bool // a task of the range runs or has completed
+	HasBegun            bool // a task of the job runs or has completed
 	PreviouslyAdmitted  bool // admitted before; precedes other groups of equal rank
 	Name                string
 	RangeStart          int // first task of the group's task range in the job
--- a/scheduler/job_requests.go
+++ b/scheduler/job_requests.go
@@ -132,11 +132,7 @@
 // progress last known to this member and last reported by its peers.
 func (rh *requestHandler) liveJobResponse(id string, rec *jobRecord) UserResponse {
 	response := UserResponse{Status: 200, ID: id, State: Pending, WorkflowRun: rec.Job.WorkflowRun}
-	unfinished := 0
-	for _, bounds := range rec.Ranges {
-		unfinished += bounds.Hi - bounds.Lo
-	}
-	response.Done = rec.Job.Tasks - unfinished
+	response.Done = rec.Job.Tasks - rec.unfinishedTasks()
 	if j := rh.cache.jobs[id]; j != nil {
 		for _, tr := range j.taskRanges {
 			response.Running += tr.runningCount
--- a/scheduler/range_assignment.go
+++ b/scheduler/range_assignment.go
@@ -123,8 +123,9 @@
 func (pt *peerTable) newRangeAssignment(j *Job, homeShard string) *rangeAssignment {
 	ownShard := pt.params.MemberID
 	limited := pt.quotas.homeShards[j.Team] != ""
-	provisional := &job{rec: jobRecord{Job: *j, AcceptedAtMS: pt.now.WallMS}}
-	provisionalRange := &taskRange{job: provisional, bounds: Range{0, j.Tasks, ownShard, false}, shardName: ownShard}
+	bounds := Range{0, j.Tasks, ownShard, false}
+	provisional := &job{rec: jobRecord{Job: *j, AcceptedAtMS: pt.now.WallMS, Ranges: []Range{bounds}}}
+	provisionalRange := &taskRange{job: provisional, bounds: bounds, shardName: ownShard}
 	group := pt.placer.newTaskGroup(provisionalRange, 0)
 	a := &rangeAssignment{
 		peers:      pt,
--- a/scheduler/records.go
+++ b/scheduler/records.go
@@ -125,6 +125,14 @@
 	MayHaveBegun bool    `json:"begun,omitempty"` // for AtMostOnce: tasks of the job may have begun
 }
 
+// unfinishedTasks returns the number of tasks in the ranges that the record lists.
+func (rec *jobRecord) unfinishedTasks() (tasks int) {
+	for _, bounds := range rec.Ranges {
+		tasks += bounds.Hi - bounds.Lo
+	}
+	return tasks
+}
+
 // terminalRecord is the stored record of a job in a terminal state.
 type terminalRecord struct {
 	State         JobState `json:"state"`
--- a/scheduler/task_ranges.go
+++ b/scheduler/task_ranges.go
@@ -31,6 +31,17 @@
 	return sum
 }
 
+// hasBegun reports whether a task of the job runs or is done, as far as this member knows: in its own
+// shards, or in a range that the record does not list any more because it is done.
+func (j *job) hasBegun() bool {
+	for _, tr := range j.taskRanges {
+		if tr.hasStarted() {
+			return true
+		}
+	}
+	return j.rec.unfinishedTasks() < j.rec.Job.Tasks
+}
+
 // applyJobRecord applies a change of a live job's stored record. If the record cannot be decoded,
 // it returns the decoder's error and changes nothing.
 func (sm *shardManager) applyJobRecord(kv KeyValue) error {
--- a/scheduler/task_starts.go
+++ b/scheduler/task_starts.go
@@ -224,7 +224,7 @@
 func (am *agentManager) mayStartUnplanned(s *shard, mc *machine, t *MachineType, g *taskGroup) bool {
 	tr := g.taskRange
 	j := &tr.job.rec.Job
-	if g.IsFirstTask && tr.hasStarted() {
+	if g.IsFirstTask && tr.job.hasBegun() {
 		return false // the other tasks have their own place in the queue
 	}
 	if !am.cache.isCurrent(tr) || tr.moving || am.now.MonotonicMS < tr.retryAt {
