Submissions: a gang that needs several task ranges is refused

No request of the protocol makes a gang, experiments of the lab do. Such a gang gets 422 with the reason.

--- a/scheduler/job_requests.go
+++ b/scheduler/job_requests.go
@@ -170,12 +170,14 @@
 	errUnknownTeam         = errors.New("unknown team")
 	errExceedsTeamLimit    = errors.New("needs more than the team's limit")
 	errFitsNoMachineType   = errors.New("a task fits no allowed machine type")
+	errGangTooLarge        = errors.New("more tasks than can start together")
 	errMachineTypesUnknown = errors.New("machine types not known yet") // no decision is possible yet
 	errRecordTooLarge      = errors.New("the job's names are too long")
 )
 
 // checkRunnable returns the reason why a job can never run, or nil if it can run. It returns
-// errMachineTypesUnknown if that cannot be decided yet.
+// errMachineTypesUnknown if that cannot be decided yet. The tasks of one range start together, so a gang
+// must fit into one.
 func (rh *requestHandler) checkRunnable(j *Job) error {
 	team, known := rh.params.Teams[j.Team]
 	if !known {
@@ -190,6 +192,9 @@
 	if exceedsCPUs || exceedsGPUs {
 		return errExceedsTeamLimit
 	}
+	if j.Kind == Gang && j.Tasks > rh.maxRangeTasks() {
+		return errGangTooLarge
+	}
 	if len(rh.cache.machineTypes) == 0 {
 		return errMachineTypesUnknown
 	}
--- a/scheduler/submission_test.go
+++ b/scheduler/submission_test.go
@@ -284,3 +284,24 @@
 			n, relays[n-1].Request)
 	}
 }
+
+// Guards against a gang that starts in parts: the tasks of one range start together, so a gang that needs several
+// ranges is refused.
+func TestGangThatNeedsSeveralRangesIsRefused(t *testing.T) {
+	ctrl := newAcceptingController(t, 1000)
+	for _, c := range []struct {
+		kind  JobKind
+		tasks int
+		want  error
+	}{
+		{Gang, ctrl.params.MaxValueBytes / 2 * 6, nil},
+		{Gang, ctrl.params.MaxValueBytes/2*6 + 1, errGangTooLarge},
+		{Array, 100_000, nil},
+	} {
+		j := newSubmission(1, "ops", Normal).Job
+		j.Kind, j.Tasks = c.kind, c.tasks
+		if err := ctrl.requests.checkRunnable(j); err != c.want {
+			t.Errorf("%s of %d tasks: got error %v, want %v", c.kind, c.tasks, err, c.want)
+		}
+	}
+}
