Claims: a range that enters the cache before its shard is ready counts as one of the earlier claim

What callers would see (ran_twice): a claim is made on a cache that lags behind and lacks a job that the earlier owner ran. Its range entered the cache before the shard was ready and did not count as recovered, so its tasks started without a wait for machines that had not reported yet, and without the stored progress.

Change: every range that is added to a shard that is not ready is recovered, and takes its stored progress from the read of the claim. The parameter of syncTaskRanges that said so in one of three places is gone. The invariant is in the comment of addTaskRange. A job that is submitted between a claim and the shard's readiness waits for unreported machines as older ones do.

--- a/scheduler/progress_records.go
+++ b/scheduler/progress_records.go
@@ -34,9 +34,9 @@
 			s.requestFailedAt = sm.now.MonotonicMS
 			return
 		}
-		done := sm.restoreProgressRecords(s, kvs)
+		s.restoredProgress = sm.restoreProgressRecords(s, kvs)
 		for _, tr := range s.taskRanges {
-			tr.restoreDone(done[tr.name()])
+			tr.restoreDone(s.restoredProgress[tr.name()])
 		}
 		s.progressRead = true
 	})
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -44,8 +44,9 @@
 	recovery   recoveryState
 	disruption shardDisruption
 
-	taskRanges      []*taskRange // sorted by taskRange.compare
-	progressRecords map[string]*recordWriteState
+	taskRanges       []*taskRange // sorted by taskRange.compare
+	progressRecords  map[string]*recordWriteState
+	restoredProgress map[string]bitset // done tasks by range name, from the read of the progress until the shard is ready
 }
 
 // shardClaim is the claim in the state service and the fencing token derived from it.
--- a/scheduler/shard_claims.go
+++ b/scheduler/shard_claims.go
@@ -207,7 +207,7 @@
 	}
 	delete(sm.ownedShards, s.name)
 	for _, j := range sortedByKey(sm.cache.jobs) {
-		sm.syncTaskRanges(j, false)
+		sm.syncTaskRanges(j)
 	}
 }
 
@@ -221,7 +221,7 @@
 		}
 	}
 	for _, j := range sortedByKey(sm.cache.jobs) {
-		sm.syncTaskRanges(j, true)
+		sm.syncTaskRanges(j)
 	}
 	sm.readProgress(s)
 }
--- a/scheduler/shard_tick.go
+++ b/scheduler/shard_tick.go
@@ -62,6 +62,7 @@
 		return
 	}
 	s.ready, s.dirty = true, true
+	s.restoredProgress = nil
 	if sm.params.Recovery && len(s.taskRanges) > 0 {
 		heartbeatMS, leaseMS := secondsToMS(sm.params.HeartbeatS), secondsToMS(sm.params.LeaseS)
 		s.reconciler.Pacer.Activate(sm.now.MonotonicMS, len(s.machines), heartbeatMS, leaseMS)
--- a/scheduler/takeover_state_test.go
+++ b/scheduler/takeover_state_test.go
@@ -276,3 +276,48 @@
 			ctrl.Counters.AdoptedTasks, ops)
 	}
 }
+
+// Guards against ran_twice: the cache lags behind a claim and contains a job only afterwards, although the earlier owner
+// of the shard ran it. The job's range waits for unreported machines, and has its stored progress.
+func TestRangeThatEntersTheCacheAfterTheClaimIsRecovered(t *testing.T) {
+	ctrl, oldShard, _ := newControllerWithShard(t)
+	ctrl.shards.dropShard(oldShard)
+	addUnreportedMachine(ctrl, false)
+	ctrl.cache.appliedRevision = 40
+	ctrl.cache.keyRevisions[claimKey("m0")] = 60
+	s := ctrl.shards.newShard("m0", 8, 60)
+	ctrl.shards.ownedShards["m0"] = s
+	ctrl.TakeOutputs()
+	ctrl.shards.takeOverShard(s)
+	read := ctrl.TakeOutputs().StoreOps[0]
+	progress := mustEncode(progressRecord{map[string][]byte{"job-000001/0": {0b0010}}})
+	stored := []KeyValue{{Key: progressPrefix + "m0/1", Value: progress, Rev: 55}}
+	ctrl.HandleStoreResult(ctrl.now, read.ID, StoreResult{Rev: 60, KVs: stored})
+	putTestJob(ctrl, 50, Range{Lo: 0, Hi: 4, Shard: "m0"})
+	ctrl.cache.appliedRevision = 60
+	if ctrl.shards.tickShard(s); !s.ready {
+		t.Fatal("the shard is not ready although the cache includes its claim")
+	}
+	seq := uint64(10)
+	heartbeat := func(machineID string, tasks ...TaskStatus) (starts int) {
+		seq++
+		ctrl.placer.planShard(s)
+		ctrl.HandleHeartbeat(ctrl.now, 9, testHeartbeat(machineID, seq, 60, tasks...))
+		for _, command := range ctrl.TakeOutputs().HeartbeatResponses[9].Commands {
+			if command.Kind == CommandStart {
+				starts++
+			}
+		}
+		return starts
+	}
+	heartbeat("i-1")
+	if starts := heartbeat("i-1"); starts != 0 {
+		t.Fatalf("%d tasks start while an unreported machine may run them, want none", starts)
+	}
+	heartbeat("i-2", TaskStatus{Task: "job-000001/0", Attempt: 9 << 28, State: "running"})
+	heartbeat("i-1")
+	if tr := s.taskRanges[0]; tr.doneCount != 1 || tr.assignedCount != 3 {
+		t.Errorf("after the last machine's heartbeat %d tasks are done and %d assigned, want 1 and 3",
+			tr.doneCount, tr.assignedCount)
+	}
+}
--- a/scheduler/task_ranges.go
+++ b/scheduler/task_ranges.go
@@ -83,8 +83,8 @@
 	shardName string
 	claim     *shard
 
-	// recovered is set if an earlier claim ran the range, so its tasks may still run on any machine
-	// that has not sent a heartbeat under our token.
+	// recovered is set if an earlier claim may have run the range, so its tasks may still run on any
+	// machine that has not sent a heartbeat under our token.
 	recovered bool
 	admitted  bool // by the last plan
 	moving    bool // a move of its tail to a peer is in flight
@@ -230,12 +230,11 @@
 	}
 	j.rec, j.rev = rec, rev
 	sm.quotas.guaranteeStatus.valid = false
-	sm.syncTaskRanges(j, false)
+	sm.syncTaskRanges(j)
 }
 
 // syncTaskRanges updates a job's task ranges to those of its record whose shards this member owns.
-// recovered marks the new ranges as possibly run by an earlier claim.
-func (sm *shardManager) syncTaskRanges(j *job, recovered bool) {
+func (sm *shardManager) syncTaskRanges(j *job) {
 	keep := map[int]bool{}
 	for _, r := range j.rec.Ranges {
 		s := sm.ownedShards[r.Shard]
@@ -249,9 +248,7 @@
 			// A range of an ended claim must not be reused for this claim. When a shard was handed
 			// back and one of its ranges then moved to a shard of this member, the reused range was
 			// run by no member.
-			tr = newTaskRange(j, r, s)
-			tr.recovered = recovered
-			s.addTaskRange(tr)
+			s.addTaskRange(newTaskRange(j, r, s))
 			continue
 		}
 		if r.Hi != tr.bounds.Hi {
@@ -267,7 +264,16 @@
 }
 
 // addTaskRange adds a new range to its job and its shard, and expedites the shard's next plan.
+//
+// Invariant: a range that an earlier claim of the shard may have run is recovered, and has its stored
+// progress. A shard becomes ready only when the cache includes the claim's revision, so a range that is
+// added later was assigned to the shard after the claim. One that is added earlier may be older than
+// the claim, also if the cache lagged behind and contained its job only after the claim.
 func (s *shard) addTaskRange(tr *taskRange) {
+	if !s.ready {
+		tr.recovered = true
+		tr.restoreDone(s.restoredProgress[tr.name()])
+	}
 	tr.job.taskRanges[tr.bounds.Lo] = tr
 	pos, _ := slices.BinarySearchFunc(s.taskRanges, tr, (*taskRange).compare)
 	s.taskRanges = slices.Insert(s.taskRanges, pos, tr)
