Moves: a range that moves between two shards of one member leaves the old shard's list

What callers would see (ran_twice): a member that has adopted a shard gets one of its ranges by a move, whole. The old shard kept the replaced range in its list, planned its tasks and moved them to a third member, while they ran in the new shard.

The invariant is in the comment of dropTaskRange.

--- a/scheduler/range_moves_test.go
+++ b/scheduler/range_moves_test.go
@@ -85,3 +85,29 @@
 		})
 	}
 }
+
+// Guards against ran_twice: a whole range moved between two shards of one member. The shard that lost it neither plans
+// nor moves its tasks any more. A move from there took tasks that run in the other shard.
+func TestShardForgetsRangeThatMovedToAnotherShardOfTheMember(t *testing.T) {
+	ctrl, s, _ := newControllerWithShard(t)
+	addPeerWithCapacity(ctrl, ctrl.now.WallMS)
+	adopted := ctrl.shards.newShard("m2", 8, 12)
+	adopted.ready = true
+	ctrl.shards.ownedShards["m2"] = adopted
+	rec := newTestJobRecord(Range{0, 4, "m2", false})
+	putRecord(ctrl, jobKey(rec.Job.ID), rec, 40)
+	ctrl.placer.planShard(adopted)
+	rec.Ranges = []Range{{0, 4, "m0", true}}
+	putRecord(ctrl, jobKey(rec.Job.ID), rec, 41)
+	if len(adopted.taskRanges) != 0 || len(s.taskRanges) != 1 {
+		t.Errorf("%d ranges in the old shard and %d in the new one, want 0 and 1",
+			len(adopted.taskRanges), len(s.taskRanges))
+	}
+	ctrl.placer.planShard(s)
+	if starts := startsAfterHeartbeat(ctrl, "i-1", "a", 4); starts != 4 {
+		t.Fatalf("%d tasks start in the new shard, want 4", starts)
+	}
+	if moved := movedRanges(t, ctrl, adopted); len(moved) != 0 {
+		t.Errorf("the old shard moves %+v, want nothing", moved)
+	}
+}
--- a/scheduler/task_ranges.go
+++ b/scheduler/task_ranges.go
@@ -247,7 +247,10 @@
 		if tr == nil || tr.claim != s {
 			// A range of an ended claim must not be reused for this claim. When a shard was handed
 			// back and one of its ranges then moved to a shard of this member, the reused range was
-			// run by no member.
+			// run by no member. A range that moved from another owned shard leaves that shard's list.
+			if tr != nil {
+				sm.dropTaskRange(tr)
+			}
 			s.addTaskRange(newTaskRange(j, r, s))
 			continue
 		}
@@ -280,7 +283,8 @@
 	s.planExpedited = true
 }
 
-// dropTaskRange removes a range from its shard's list.
+// dropTaskRange removes a range from its shard's list. Invariant: the list of a shard contains only ranges
+// that the job's record assigns to the shard, so a shard decides for no task of another one.
 func (sm *shardManager) dropTaskRange(tr *taskRange) {
 	s := tr.claim
 	s.dirty = true
