Simulation: random faults while most jobs have several ranges in a shard

MaxRangeTasks of the emulator splits the ranges of new jobs as smaller values of the state service would; the product has no branch for it. TestInvariantsSurviveWithSeveralRanges plays the random faults, the random overlapping faults and every scenario of overlapping faults with ranges of one to four tasks, and requires records with several ranges in a shard, also beside ranges from a peer.

The simulated machines are the emulator's.

--- a/emulator/members.go
+++ b/emulator/members.go
@@ -132,6 +132,7 @@
 	// moment later, but responses do not reach the restarted core, because its epoch differs.
 	sim, epoch := m.sim, m.epoch
 	outputs := m.Core.TakeOutputs()
+	sim.splitNewRanges(outputs.StoreOps)
 	if sim.Observer != nil {
 		sim.Observer(m, &outputs)
 	}
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -32,6 +32,8 @@
 	// SpotLossPerHour is the number of reclaims per hour per hundred spot machines. The notice is
 	// NoticeS seconds, varied randomly by up to half.
 	SpotLossPerHour, NoticeS float64
+	// MaxRangeTasks is the maximum number of tasks in a range of a new job; 0: as the members write it.
+	MaxRangeTasks int
 	// GangWaitMS is how long a gang's tasks wait for each other; 0: they do not wait.
 	GangWaitMS int64
 }
--- a/scheduler/overlapping_faults_test.go
+++ b/scheduler/overlapping_faults_test.go
@@ -426,12 +426,19 @@
 	},
 }
 
-func TestInvariantsSurviveOverlappingFaults(t *testing.T) {
+// allOverlappingFaults returns the scenarios of all three maps.
+func allOverlappingFaults() map[string]faultScenario {
 	scenarios := maps.Clone(overlappingFaults)
 	maps.Copy(scenarios, overlappingRequestFaults)
 	maps.Copy(scenarios, overlappingMachineFaults)
-	taskRunMS := taskRunsFor(1000, 20_000)
-	runFaultScenarios(t, scenarios, 6500, taskRunMS)
+	return scenarios
+}
+
+// overlappingFaultsTaskRunMS returns the run time of a task in the scenarios of overlapping faults.
+var overlappingFaultsTaskRunMS = taskRunsFor(1000, 20_000)
+
+func TestInvariantsSurviveOverlappingFaults(t *testing.T) {
+	runFaultScenarios(t, allOverlappingFaults(), 6500, overlappingFaultsTaskRunMS)
 }
 
 // runFaultScenarios runs each scenario with consecutive seeds, starting with firstSeed. runMS returns the run
--- /dev/null
+++ b/scheduler/several_ranges_test.go
@@ -0,0 +1,147 @@
+package scheduler_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/grebedock/grebedock/emulator"
+	"github.com/grebedock/grebedock/scheduler"
+)
+
+// rangeSeedCount is the number of seeds that TestInvariantsSurviveWithSeveralRanges plays. A run by hand can
+// play more.
+var rangeSeedCount = flag.Int(
+	"range-seeds",
+	96,
+	"number of seeds of simulations with several ranges of a job in a shard",
+)
+
+// severalRangesScale returns the scale of a simulation whose jobs have ranges of one to four tasks.
+func severalRangesScale(seed uint64) simScale {
+	size := smallScale
+	size.maxRangeTasks = 1 + int(seed%4)
+	return size
+}
+
+// newSeveralRangesSimulation returns the simulation of a seed, and the function that runs it: with random faults, with
+// random overlapping faults, or with one scenario of overlapping faults.
+func newSeveralRangesSimulation(t *testing.T, seed uint64) (sim *testSimulation, run func()) {
+	options := emulator.Options{Seed: 20_000 + seed}
+	size := severalRangesScale(seed / 3)
+	switch seed % 3 {
+	case 0:
+		sim = newTestSimulationWith(size, options)
+		return sim, func() { sim.runScenario(180_000, 900_000, 60) }
+	case 1:
+		sim = newTestSimulationWith(size, options)
+		return sim, func() { runRandomOverlappingFaults(sim) }
+	}
+	scenarios := allOverlappingFaults()
+	names := slices.Sorted(maps.Keys(scenarios))
+	scenario := scenarios[names[seed/3%uint64(len(names))]]
+	options.TaskRunMS = overlappingFaultsTaskRunMS
+	sim = newTestSimulationWith(size, options)
+	sim.noRandomFaults = true
+	if scenario.adjustJob != nil {
+		sim.adjustJob = func(j *scheduler.Job, n int) { scenario.adjustJob(sim, j, n) }
+	}
+	scenario.inject(t, sim, map[string]int{})
+	return sim, func() { sim.runScenario(faultWindowMS, 900_000, 60) }
+}
+
+// rangeStatistics counts job records that were written, and the broken rules, over all seeds.
+type rangeStatistics struct {
+	mu            sync.Mutex
+	severalRanges int            // records with several ranges in a shard
+	movedRanges   int            // records with a range that a peer received beside another range of its shard
+	brokenRules   map[string]int // seeds by rule
+	failedSeeds   []uint64
+}
+
+// countRecords counts the job records among the changes of a member's transactions.
+func (statistics *rangeStatistics) countRecords(outputs *scheduler.Outputs) {
+	for _, op := range outputs.StoreOps {
+		for _, change := range op.Changes {
+			if emulator.KeyKind(change.Key) != jobKeyPrefix || change.Value == nil {
+				continue
+			}
+			var rec struct {
+				Ranges []scheduler.Range `json:"ranges"`
+			}
+			if json.Unmarshal(change.Value, &rec) == nil {
+				statistics.countRecord(rec.Ranges)
+			}
+		}
+	}
+}
+
+func (statistics *rangeStatistics) countRecord(ranges []scheduler.Range) {
+	byShard, moved := map[string]int{}, map[string]bool{}
+	for _, r := range ranges {
+		byShard[r.Shard]++
+		moved[r.Shard] = moved[r.Shard] || r.MovedFromPeer
+	}
+	statistics.mu.Lock()
+	defer statistics.mu.Unlock()
+	for shard, n := range byShard {
+		if n < 2 {
+			continue
+		}
+		statistics.severalRanges++
+		if moved[shard] {
+			statistics.movedRanges++
+		}
+	}
+}
+
+// recordResult records which rules a seed broke.
+func (statistics *rangeStatistics) recordResult(seed uint64, sim *testSimulation, failed bool) {
+	statistics.mu.Lock()
+	defer statistics.mu.Unlock()
+	if failed {
+		statistics.failedSeeds = append(statistics.failedSeeds, seed)
+	}
+	for rule := range sim.Violations {
+		statistics.brokenRules[rule]++
+	}
+}
+
+// The invariants hold while most jobs have several ranges in a shard, some of them received from a peer. Larger values
+// of the state service make ranges of ten thousands of tasks, so that other simulations have one range a shard.
+func TestInvariantsSurviveWithSeveralRanges(t *testing.T) {
+	statistics := &rangeStatistics{brokenRules: map[string]int{}}
+	t.Cleanup(func() {
+		slices.Sort(statistics.failedSeeds)
+		t.Logf("%d seeds, failed: %v, broken rules by seeds: %v; records with several ranges in a shard: %d, "+
+			"of these with ranges from a peer: %d", *rangeSeedCount, statistics.failedSeeds, statistics.brokenRules,
+			statistics.severalRanges, statistics.movedRanges)
+		minRecords := *rangeSeedCount
+		if *traceSeed < 0 && (statistics.severalRanges < minRecords || statistics.movedRanges < minRecords) {
+			t.Errorf("got %d records with several ranges in a shard, %d with ranges from a peer, want at least %d of each",
+				statistics.severalRanges, statistics.movedRanges, minRecords)
+		}
+	})
+	for seed := range uint64(*rangeSeedCount) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim, run := newSeveralRangesSimulation(t, seed)
+			sim.TraceEnabled = *traceSeed == int(seed)
+			observe := sim.Observer
+			sim.Observer = func(m *emulator.Member, outputs *scheduler.Outputs) {
+				statistics.countRecords(outputs)
+				if observe != nil {
+					observe(m, outputs)
+				}
+			}
+			run()
+			sim.checkInvariants(t)
+			sim.checkServed(t)
+			statistics.recordResult(seed, sim, t.Failed())
+		})
+	}
+}
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -46,7 +46,7 @@
 
 	taskRanges       []*taskRange // sorted by taskRange.compare
 	progressRecords  map[string]*recordWriteState
-	restoredProgress map[string]bitset // done tasks by range name, from the read of the progress until the shard is ready
+	restoredProgress map[string]bitset // done tasks by range name, from their read until the shard is ready
 }
 
 // shardClaim is the claim in the state service and the fencing token derived from it.
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -48,6 +48,7 @@
 	members             int
 	capacityPerOffering int // machines per instance offering
 	maxTasks            int // maximum number of tasks of a job
+	maxRangeTasks       int // maximum number of tasks in a range of a new job; 0: as the members write it
 	teamCPUs            float64
 }
 
@@ -94,6 +95,7 @@
 func newTestSimulationWith(size simScale, options emulator.Options) *testSimulation {
 	options.Members, options.Types, options.CapacityPerOffering = size.members, simTypes, size.capacityPerOffering
 	options.Params, options.MessageLoss = newParams(size.teamCPUs), 0.002
+	options.MaxRangeTasks = size.maxRangeTasks
 	return &testSimulation{Simulation: emulator.New(options), size: size}
 }
 
--- a/scheduler/takeover_state_test.go
+++ b/scheduler/takeover_state_test.go
@@ -277,8 +277,8 @@
 	}
 }
 
-// Guards against ran_twice: the cache lags behind a claim and contains a job only afterwards, although the earlier owner
-// of the shard ran it. The job's range waits for unreported machines, and has its stored progress.
+// Guards against ran_twice: the cache lags behind a claim and contains a job only afterwards, although the earlier
+// owner of the shard ran it. The job's range waits for unreported machines, and has its stored progress.
 func TestRangeThatEntersTheCacheAfterTheClaimIsRecovered(t *testing.T) {
 	ctrl, oldShard, _ := newControllerWithShard(t)
 	ctrl.shards.dropShard(oldShard)
--- a/scheduler/zone_constraints_test.go
+++ b/scheduler/zone_constraints_test.go
@@ -45,7 +45,13 @@
 	}{
 		{name: "one zone", constraint: func(j *Job) { j.OneZone = true }, running: []string{"/0"}, startsInA: 5},
 		{name: "one zone, nothing runs", constraint: func(j *Job) { j.OneZone = true }, startsInB: 6},
-		{name: "spread", constraint: func(j *Job) { j.Spread = true }, running: []string{"/0", "/1"}, startsInA: 1, startsInB: 3},
+		{
+			name:       "spread",
+			constraint: func(j *Job) { j.Spread = true },
+			running:    []string{"/0", "/1"},
+			startsInA:  1,
+			startsInB:  3,
+		},
 		{name: "spread, nothing runs", constraint: func(j *Job) { j.Spread = true }, startsInA: 3, startsInB: 3},
 		{name: "no constraint", constraint: func(*Job) {}, running: []string{"/0"}, startsInB: 5},
 		{name: "one zone, unreported", constraint: func(j *Job) { j.OneZone = true }, unreportedRange: "/0"},
