--- a/scripts/knownred/main.go
+++ b/scripts/knownred/main.go
@@ -21,7 +21,7 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		die(err)
 	}
-	list, err := knownred.Parse(string(text))
+	list, err := knownred.Parse(string(text), isFile)
 	if err != nil {
 		die(fmt.Errorf("KNOWN-RED.txt: %w", err))
 	}
@@ -45,6 +45,12 @@
 	}
 }
 
+// isFile reports whether a path names a regular file.
+func isFile(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && info.Mode().IsRegular()
+}
+
 func die(err error) {
 	fmt.Fprintln(os.Stderr, err)
 	os.Exit(1)
