--- a/planner/group.go
+++ b/planner/group.go
@@ -69,6 +69,9 @@
 // zoneAllowance returns how many tasks of the group its zone constraint allows on a machine, counting tasks of the job
 // that run or that the round has already placed.
 func (g *Group) zoneAllowance(m *Machine) int {
+	if !g.SingleZone && !g.SpreadZones {
+		return g.Remaining
+	}
 	zone := m.Offering.Zone
 	if g.SingleZone && (tasksOutside(zone, g.RunningByZone) > 0 || tasksOutside(zone, g.PlacedByZone) > 0) {
 		return 0
--- a/scheduler/scale_benchmark_test.go
+++ b/scheduler/scale_benchmark_test.go
@@ -105,6 +105,29 @@
 	}
 }
 
+// BenchmarkPlanSeveralRanges plans a fleet with one more job of 100,000 tasks, which has several ranges in the shard.
+func BenchmarkPlanSeveralRanges(b *testing.B) {
+	for name, constrain := range map[string]func(*Job){
+		"no constraint": func(*Job) {},
+		"one zone":      func(j *Job) { j.OneZone = true },
+		"spread":        func(j *Job) { j.Spread = true },
+	} {
+		b.Run(name, func(b *testing.B) {
+			ctrl, s := newControllerWithFleet(b, 300, 100)
+			rec := jobRecord{Job: ctrl.cache.jobs["job-000001"].rec.Job, AcceptedAtMS: 90_000}
+			rec.Job.ID, rec.Job.Tasks = "job-000412", 100_000
+			constrain(&rec.Job)
+			rec.Ranges = ctrl.peers.splitIntoRanges([]shardShare{{"m0", rec.Job.Tasks}}, "m0")
+			putRecord(ctrl, jobKey(rec.Job.ID), rec, 90_000)
+			b.ReportAllocs()
+			for b.Loop() {
+				ctrl.placer.planShard(s)
+			}
+			b.ReportMetric(float64(len(rec.Ranges)), "ranges")
+		})
+	}
+}
+
 // changingFleet is a fleet that changes by 1 % per step: a second passes, and the tasks of 1 % of the
 // machines are replaced by new ones.
 type changingFleet struct {
--- a/scheduler/task_groups.go
+++ b/scheduler/task_groups.go
@@ -91,7 +91,7 @@
 			JobTasks:           j.Tasks,
 			LengthMS:           pp.estimates.expectedRuntime(j),
 			AcceptedMS:         tr.job.rec.AcceptedAtMS,
-			HasBegun:           tr.job.hasBegun(),
+			HasBegun:           tr.hasStarted() || tr.job.hasBegun(),
 			PreviouslyAdmitted: tr.admitted,
 			Name:               j.ID,
 			RangeStart:         tr.bounds.Lo,
