--- a/scheduler/several_ranges_test.go
+++ b/scheduler/several_ranges_test.go
@@ -145,3 +145,57 @@
 		})
 	}
 }
+
+// restartSeeds returns the seeds of TestInvariantsSurviveRestartsNearUnreachableMachines: a quarter of the number of
+// range seeds, and three with which the fault of docs/incidents/moved-range-started-twice.md breaks ran_twice.
+func restartSeeds() []uint64 {
+	var seeds []uint64
+	for seed := range uint64(*rangeSeedCount / 4) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range []uint64{33, 224, 278} {
+		if seed >= uint64(*rangeSeedCount/4) {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+// injectRestartsNearUnreachableMachines makes some machines unreachable for less than a lease. Meanwhile a member
+// records them and restarts. All jobs have tasks that can move to peers, and more work than the machines can
+// finish in time.
+func injectRestartsNearUnreachableMachines(sim *testSimulation) {
+	sim.noRandomFaults = true
+	sim.Params.LeaseS, sim.Params.CancelWithinS = 20, 50
+	sim.adjustJob = func(j *scheduler.Job, n int) {
+		j.OneZone, j.Spread, j.Zone, j.AtMostOnce, j.MaxTaskErrors = false, false, "", false, 0
+		j.Team, j.Request.CPUs, j.Tasks = "t1", 4, 6+n%19
+		j.EstimateS, j.DeadlineS = 10, float64(40+20*(n%7))
+	}
+	sim.repeatAtRandom(9000, faultWindowMS, func() {
+		durationMS := sim.randomBetween(12_000, 18_000)
+		sim.SampleLiveWorkers(0.15, func(worker *emulator.Worker) {
+			sim.partition(emulator.Partition{A: "w" + worker.Instance.ID, Until: sim.Now + durationMS})
+		})
+		m := sim.randomMember()
+		sim.After(sim.randomBetween(3000, 6000), func() { m.Crash(500 + sim.Rand.Int64N(1500)) })
+	})
+}
+
+// Guards against ran_twice: a member restarts while machines with tasks of some ranges of a job are unreachable, and
+// other ranges of the job move to peers.
+func TestInvariantsSurviveRestartsNearUnreachableMachines(t *testing.T) {
+	for _, seed := range restartSeeds() {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			size := severalRangesScale(seed)
+			size.maxTasks, size.capacityPerOffering = 24, 3
+			options := emulator.Options{Seed: 30_000 + seed, TaskRunMS: taskRunsFor(4000, 36_000)}
+			sim := newTestSimulationWith(size, options)
+			sim.TraceEnabled = *traceSeed == int(seed)
+			injectRestartsNearUnreachableMachines(sim)
+			sim.runScenario(faultWindowMS, 900_000, 60)
+			sim.checkInvariants(t)
+		})
+	}
+}
