Reproduce a team over its limit; check what owners count for teams

What callers saw: a team had 108 CPUs on machines with a limit of 105.

TestTeamStaysWithinLimitBesideTasksOfCancelledJobs plays all members ending together, machines that cannot report meanwhile, and jobs that are cancelled before they report. The smallest case is TestStartBesideUnknownTasksLowersNoTeamsUsage.

The bound on a team's usage moves from team_limits.go to team_usage.go, unchanged.

--- a/emulator/invariants.go
+++ b/emulator/invariants.go
@@ -85,6 +85,7 @@
 		}
 	})
 	sim.checkLimits(job.Team, cpus, gpus)
+	sim.checkTeamUsage()
 	sim.checkPlacement(worker, t, zones)
 }
 
--- a/emulator/members.go
+++ b/emulator/members.go
@@ -47,11 +47,16 @@
 // Clock returns the member's own monotonic and wall-clock time.
 func (m *Member) Clock() scheduler.Now {
 	return scheduler.Now{
-		MonotonicMS: int64(float64(m.sim.Now-m.startedAt)*m.clockRate) + 1,
+		MonotonicMS: m.monotonicMS(),
 		WallMS:      1_700_000_000_000 + m.sim.Now + m.ClockOffsetMS + m.sim.Rand.Int64N(11) - 5,
 	}
 }
 
+// monotonicMS returns the member's own monotonic time.
+func (m *Member) monotonicMS() int64 {
+	return int64(float64(m.sim.Now-m.startedAt)*m.clockRate) + 1
+}
+
 func (m *Member) start() {
 	cfg := m.sim.Params
 	cfg.MemberID = m.Name
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -2,7 +2,8 @@
 // service, a cloud, workers, a network that drops, duplicates and delays messages, clocks that
 // drift, and users who submit, query and cancel jobs and check the responses. It runs the real
 // cores of the scheduler. The same seed gives the same history. The rules are checked against the
-// tasks on the machines and the responses to users, never against the state of a core.
+// tasks on the machines and the responses to users, never against the state of a core, except for
+// what owners count for teams (checkTeamUsage).
 package emulator
 
 import (
--- a/emulator/workers.go
+++ b/emulator/workers.go
@@ -342,6 +342,7 @@
 	}
 	m.Core.HandleHeartbeat(m.Clock(), replyID, x.heartbeat)
 	m.dispatchOutputs()
+	sim.checkTeamUsage()
 	sim.replayHeartbeat(worker, m, x.heartbeat)
 	sim.captureForClaim(worker, x.heartbeat)
 }
@@ -372,11 +373,16 @@
 func (sim *Simulation) EachTask(visit func(worker *Worker, t *platformfake.Task)) {
 	for _, id := range sim.WorkerIDs {
 		worker := sim.Workers[id]
-		if worker.Gone || !worker.Up || worker.Agent.IsLeaseExpired(worker.Clock(sim)) {
-			continue
-		}
-		worker.Agent.ForEachOnMachine(func(t *platformfake.Task) { visit(worker, t) })
+		sim.eachTaskOn(worker, func(t *platformfake.Task) { visit(worker, t) })
+	}
+}
+
+// eachTaskOn calls visit for every task on a machine. A machine that is nil, gone or has no lease has none.
+func (sim *Simulation) eachTaskOn(worker *Worker, visit func(*platformfake.Task)) {
+	if worker == nil || worker.Gone || !worker.Up || worker.Agent.IsLeaseExpired(worker.Clock(sim)) {
+		return
 	}
+	worker.Agent.ForEachOnMachine(visit)
 }
 
 // price returns the spot or on-demand price of the machine.
--- a/scheduler/state_cache.go
+++ b/scheduler/state_cache.go
@@ -7,7 +7,6 @@
 
 	"github.com/grebedock/grebedock/availability"
 	"github.com/grebedock/grebedock/planner"
-	"github.com/grebedock/grebedock/reconcile"
 )
 
 // stateCache is the member's cache of all live records in the state service. It is
@@ -272,12 +271,11 @@
 	)
 }
 
-// machineCapacity returns the resources of a machine, which its worker enforces. They are
+// machineCapacity returns the CPUs, GPUs and memory of a machine, which its worker enforces. They are
 // unlimited if the machine type is unknown.
-func (cache *stateCache) machineCapacity(mc *machine) reconcile.ResourceUsage {
+func (cache *stateCache) machineCapacity(mc *machine) availability.Resources {
 	if mc == nil || cache.machineTypes[mc.rec.Type] == nil {
-		return reconcile.ResourceUsage{CPUs: 1e12, GPUs: 1e12}
+		return availability.Resources{CPUs: unlimitedAmount, GPUs: unlimitedAmount, MemoryGB: unlimitedAmount}
 	}
-	r := cache.machineTypes[mc.rec.Type].Resources
-	return reconcile.ResourceUsage{CPUs: r.CPUs, GPUs: r.GPUs}
+	return withoutDisk(cache.machineTypes[mc.rec.Type].Resources)
 }
--- a/scheduler/team_limits.go
+++ b/scheduler/team_limits.go
@@ -7,7 +7,6 @@
 	"github.com/grebedock/grebedock/availability"
 	"github.com/grebedock/grebedock/indoubt"
 	"github.com/grebedock/grebedock/quota"
-	"github.com/grebedock/grebedock/reconcile"
 )
 
 // quotaManager owns the teams' ledgers (the allocations of their limits to shards). It decides which
@@ -112,35 +111,6 @@
 	return sum
 }
 
-// maxUnreportedUsage returns an upper bound on a team's usage of a shard's machines that the shard
-// does not know about. A machine that has not sent a heartbeat since the claim uses at most the
-// amount of its entry in the ledger of unreachable machines. Without an entry the bound is its
-// capacity. A machine with orphaned tasks may use all of its remaining capacity. The team of an
-// orphaned task is unknown, so that capacity counts for every team until the task is stopped.
-func (qm *quotaManager) maxUnreportedUsage(s *shard, team string) (sum reconcile.ResourceUsage) {
-	for _, unreported := range s.reconciler.Unreported() {
-		if entry, recorded := s.reconciler.Ledger.Entry(unreported.ID); recorded {
-			sum = sum.Add(entry.UsageByTeam[team])
-			continue
-		}
-		sum = sum.Add(qm.cache.machineCapacity(qm.registry.machines[unreported.ID]))
-	}
-	if s.machinesWithOrphans == 0 {
-		return sum
-	}
-	for _, mc := range s.machines {
-		if mc.orphanedTasks == 0 || !mc.IsReconciled() {
-			continue
-		}
-		capacity := qm.cache.machineCapacity(mc)
-		sum = sum.Add(reconcile.ResourceUsage{
-			CPUs: capacity.CPUs - mc.usage.CPUs,
-			GPUs: capacity.GPUs - mc.usage.GPUs,
-		})
-	}
-	return sum
-}
-
 // teamHeadroom returns the resources that a team may still use in a shard. limited is false for a
 // team without a limit.
 func (qm *quotaManager) teamHeadroom(s *shard, team string) (headroom availability.Resources, limited bool) {
@@ -148,12 +118,8 @@
 	if !limited {
 		return availability.Resources{}, false
 	}
-	usage, unreported := s.usage[team], qm.maxUnreportedUsage(s, team)
-	headroom = availability.Resources{
-		CPUs:     allocation.CPUs - usage.CPUs - unreported.CPUs,
-		GPUs:     allocation.GPUs - usage.GPUs - unreported.GPUs,
-		MemoryGB: unlimitedAmount,
-	}
+	unused := allocation.Sub(qm.teamUsage(s, team).total())
+	headroom = availability.Resources{CPUs: unused.CPUs, GPUs: unused.GPUs, MemoryGB: unlimitedAmount}
 	if t.MaxCPUs <= 0 {
 		headroom.CPUs = unlimitedAmount
 	}
@@ -185,11 +151,8 @@
 func (qm *quotaManager) teamDemands(s *shard) map[string]quota.Demand {
 	out := make(map[string]quota.Demand, len(qm.quotaLedgers))
 	for name := range qm.quotaLedgers {
-		usage, unreported := s.usage[name], qm.maxUnreportedUsage(s, name)
-		out[name] = quota.Demand{
-			Used:           quota.Amounts{CPUs: usage.CPUs + unreported.CPUs, GPUs: usage.GPUs + unreported.GPUs},
-			UsageUncertain: unreported != (reconcile.ResourceUsage{}),
-		}
+		usage := qm.teamUsage(s, name)
+		out[name] = quota.Demand{Used: usage.total(), UsageUncertain: usage.heldBack() != (quota.Amounts{})}
 	}
 	for _, tr := range s.taskRanges {
 		j := &tr.job.rec.Job
