Hold back what unknown tasks may use until a report shows their end

What callers saw: a team had 108 CPUs on machines with a limit of 105.

Cause: a task without a job (its job was cancelled while its machine could not report) is to be stopped, and its team is not known, so the rest of its machine was held back for every team: the capacity less what this claim counts there. Each start that the member decided made this rest smaller, although the worker had confirmed nothing and refuses such a start as full. And nothing reserved what these tasks use, so starts went to their machine first. The headroom of other teams rose by as much, and their tasks started elsewhere while the unknown ones still ran. The class is an upper bound that an own decision makes smaller.

The free resources of the machine, and the planner's view, from which peers are told, leave the same amount out; the view has a slot for it that is free half a heartbeat later.

--- a/scheduler/cluster_view.go
+++ b/scheduler/cluster_view.go
@@ -76,6 +76,7 @@
 			s.objectiveCPUs += request.CPUs
 		}
 	}
+	pp.addOrphansToView(viewMachine, mc)
 	viewMachine.Free = viewMachine.Free.Sub(pp.quotas.reservedResources(mc))
 	if reservation := mc.reservation; reservation != nil {
 		s.reservedTasks[reservation.taskRange] += reservation.count
@@ -83,6 +84,18 @@
 	slices.SortFunc(viewMachine.Slots, compareSlots)
 }
 
+// addOrphansToView adds a slot for what the orphaned tasks of a machine may use. It is expected to be free once they
+// are stopped.
+func (pp *placementPlanner) addOrphansToView(viewMachine *planner.Machine, mc *machine) {
+	if mc.orphanedTasks == 0 {
+		return
+	}
+	unused := nonNegative(viewMachine.Free)
+	free := nonNegative(unused.Sub(pp.agents.maxOrphanedUsage(mc)))
+	viewMachine.Free = free
+	viewMachine.AddSlot(unused.Sub(free), pp.now.WallMS+pp.maxHeartbeatIntervalMS()/2)
+}
+
 // compareSlots orders slots by the time at which they become free, then by size.
 func compareSlots(a, b planner.Slot) int {
 	return cmp.Or(
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -199,6 +199,7 @@
 			am.applyTaskStatus(s, mc, a, status, hb)
 		}
 	}
+	s.recountOrphans(mc, hb.Tasks)
 }
 
 // removeRefusedStarts removes the attempts of a direct command that the worker refused.
--- a/scheduler/heartbeats.go
+++ b/scheduler/heartbeats.go
@@ -174,7 +174,7 @@
 func (am *agentManager) reconcileTasks(s *shard, mc *machine, hb *Heartbeat) {
 	reported := make(map[attemptKey]bool, len(hb.Tasks))
 	mc.reportedTasks = len(hb.Tasks)
-	s.resetOrphanCount(mc)
+	s.resetOrphans(mc)
 	for _, status := range hb.Tasks {
 		key := attemptKey{status.Task, status.Attempt}
 		reported[key] = true
@@ -188,6 +188,7 @@
 		a.observed = true
 		am.applyTaskStatus(s, mc, a, status, hb)
 	}
+	mc.recordReportedUsage(hb.Tasks)
 	am.removeUnreportedAttempts(mc, hb, reported)
 }
 
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -34,7 +34,6 @@
 	everReconciled   bool            // it was reconciled under this claim
 	cordoned         bool            // it accepts no more starts, because of an operator's setting or a rollout
 	releasing        bool            // it is draining: its release by the leader is requested
-	orphanedTasks    int             // attempts on it that this claim did not adopt and that still have to stop
 }
 
 // acceptsStarts reports whether no condition prevents a start now.
@@ -49,6 +48,8 @@
 	byKey            []*attempt             // the attempts sorted by key
 	liveAttemptCount int                    // attempts that have not exited
 	usage            availability.Resources // resources of the live attempts
+	orphanedTasks    int                    // attempts on it that this claim did not adopt and that still have to stop
+	reportedUsage    availability.Resources // with orphaned tasks: resources of the live attempts in the last report
 	reportedTasks    int                    // attempts in the last report, including exited ones
 	imageCache       *planner.ImageCache    // nil: this member does not own the machine's shard
 	idleSince        int64                  // monotonic ms since which no attempt is live
@@ -127,6 +128,12 @@
 	return !recorded
 }
 
+// nonNegative returns resources with negative CPUs, GPUs and memory replaced by 0.
+func nonNegative(r availability.Resources) availability.Resources {
+	r.CPUs, r.GPUs, r.MemoryGB = max(0, r.CPUs), max(0, r.GPUs), max(0, r.MemoryGB)
+	return r
+}
+
 // fetchTime is how long a machine takes to fetch the image of a job, in milliseconds; 0 if the
 // image is cached.
 func (am *agentManager) fetchTime(j *Job, mc *machine, t *MachineType) int64 {
@@ -136,9 +143,9 @@
 	return am.cache.imageFetchMS(j, t.Name)
 }
 
-// freeResources returns the resources of a machine that its live attempts do not use.
+// freeResources returns the resources of a machine that neither its live attempts nor its orphaned tasks may use.
 func (am *agentManager) freeResources(mc *machine) availability.Resources {
-	return resourcesOf(am.cache.machineTypes[mc.rec.Type]).Sub(mc.usage)
+	return resourcesOf(am.cache.machineTypes[mc.rec.Type]).Sub(mc.usage).Sub(am.maxOrphanedUsage(mc))
 }
 
 // hasUnconfirmedStart reports whether a machine was sent another start after one that did not reach
@@ -157,14 +164,6 @@
 	return false
 }
 
-// resetOrphanCount sets a machine's count of orphaned tasks to zero.
-func (s *shard) resetOrphanCount(mc *machine) {
-	if mc.orphanedTasks > 0 {
-		mc.orphanedTasks = 0
-		s.machinesWithOrphans--
-	}
-}
-
 // mayHaveTasks reports whether an unreported machine (see shard) may run tasks of a range. With a
 // ledger entry it may run only the ranges that the entry lists, otherwise any range that may use
 // its instance offering.
--- a/scheduler/machine_registry.go
+++ b/scheduler/machine_registry.go
@@ -260,7 +260,7 @@
 	s.dirty = true
 	if mc.claim == s {
 		s.reconciler.RemoveMachine(mc.Machine)
-		s.resetOrphanCount(mc)
+		s.resetOrphans(mc)
 	}
 	if pos, ok := slices.BinarySearchFunc(s.machines, id, (*machine).compare); ok {
 		s.machines = slices.Delete(s.machines, pos, pos+1)
--- a/scheduler/machine_reservations.go
+++ b/scheduler/machine_reservations.go
@@ -45,7 +45,7 @@
 			sum = sum.Sub(withoutDisk(a.job.Request))
 		}
 	}
-	return availability.Resources{CPUs: max(0, sum.CPUs), GPUs: max(0, sum.GPUs), MemoryGB: max(0, sum.MemoryGB)}
+	return nonNegative(sum)
 }
 
 // isReservationValid reports whether a machine's reservation still applies.
--- a/scheduler/task_status.go
+++ b/scheduler/task_status.go
@@ -36,9 +36,7 @@
 		return am.adoptAttempt(s, mc, status, tr, i)
 	case reconcile.Stop:
 		am.Counters.OrphanedTasks++
-		if mc.orphanedTasks++; mc.orphanedTasks == 1 {
-			s.machinesWithOrphans++
-		}
+		s.addOrphan(mc)
 		am.queueCommand(s, mc, Command{Kind: CommandStop, Task: status.Task, Attempt: status.Attempt})
 	case reconcile.RecordCompletion:
 		tr.markDone(i)
--- a/scheduler/team_usage.go
+++ b/scheduler/team_usage.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"github.com/grebedock/grebedock/availability"
 	"github.com/grebedock/grebedock/quota"
 )
 
@@ -50,19 +49,6 @@
 	return usage
 }
 
-// maxOrphanedUsage returns an upper bound on the resources that the orphaned tasks of a machine use.
-func (am *agentManager) maxOrphanedUsage(mc *machine) availability.Resources {
-	if mc.orphanedTasks == 0 {
-		return availability.Resources{}
-	}
-	capacity := am.cache.machineCapacity(mc)
-	return availability.Resources{
-		CPUs:     capacity.CPUs - mc.usage.CPUs,
-		GPUs:     capacity.GPUs - mc.usage.GPUs,
-		MemoryGB: capacity.MemoryGB - mc.usage.MemoryGB,
-	}
-}
-
 // TeamShardUsage is a team's limit and allocation in a shard, and the upper bound on its usage of the shard's machines.
 type TeamShardUsage struct {
 	Team       string        `json:"team"`
--- a/scheduler/unknown_tasks_test.go
+++ b/scheduler/unknown_tasks_test.go
@@ -56,3 +56,49 @@
 		t.Errorf("after the unknown tasks have ended, %v CPUs are held back, want 0", used)
 	}
 }
+
+// Guards against starts that the worker refuses for lack of resources: a plan, a peer or a heartbeat uses what unknown
+// tasks may use.
+func TestNothingStartsWhereUnknownTasksMayRun(t *testing.T) {
+	ctrl, s, mc := newMachineWithUnknownTasks(t)
+	ctrl.TakeOutputs()
+	planAndStart := func() int {
+		ctrl.placer.planShard(s)
+		ctrl.agents.sendUrgentStarts(s)
+		starts := 0
+		for _, direct := range ctrl.TakeOutputs().DirectCommands {
+			starts += len(direct.Commands)
+		}
+		return starts
+	}
+	if starts := planAndStart(); starts != 0 {
+		t.Errorf("%d starts beside unknown tasks, want none", starts)
+	}
+	if free := ctrl.agents.freeResources(mc); free.CPUs != 0 {
+		t.Errorf("%v CPUs are free beside unknown tasks, want 0", free.CPUs)
+	}
+	if machines := s.clusterView.Machines(); len(machines) != 1 || machines[0].Free.CPUs != 0 {
+		t.Errorf("the planner sees %+v, want one machine without free CPUs", machines)
+	}
+	reportUnknownTasks(ctrl, 5, 11, taskExited)
+	if starts := planAndStart(); starts != 7 {
+		t.Errorf("after the unknown tasks have ended, %d starts on 7 free CPUs, want 7", starts)
+	}
+}
+
+// The bound on unknown tasks follows the response to a direct command, which lists all tasks of the worker.
+func TestResponseToDirectCommandEndsUnknownTasks(t *testing.T) {
+	ctrl, s, mc := newMachineWithUnknownTasks(t)
+	response := func(seq uint64, state string) {
+		ctrl.agents.sendDirectCommand(s, mc, mc.Incarnation, nil)
+		heartbeat := testHeartbeat("i-1", seq, 11, unknownTasks(state)...)
+		result := DirectCommandResult{Outcome: OK, Heartbeat: &heartbeat}
+		ctrl.HandleDirectCommandResult(ctrl.now, ctrl.lastRequestID, result)
+	}
+	if response(5, taskRunning); usedByOps(ctrl, s) != 7 {
+		t.Errorf("%v CPUs are held back while the unknown tasks run, want 7", usedByOps(ctrl, s))
+	}
+	if response(6, taskExited); usedByOps(ctrl, s) != 0 || s.machinesWithOrphans != 0 {
+		t.Errorf("%v CPUs are held back after the unknown tasks have ended, want 0", usedByOps(ctrl, s))
+	}
+}
