Send the stops that follow from a task query's answer at once

What callers saw: tasks of a cancelled job ran on for up to a heartbeat interval after the owner had found them by a task query.

Cause: the answer reconciles the machine and queues the stops, but a query's answer is no heartbeat with a response to put them in, and the next message empties the queue.

Change: if the queue contains a stop, it leaves as a direct command. The stops are counted by the pacer when they are queued, as before; queries themselves are paced. A stop without an effect is sent again with the next heartbeat.

Evidence: TestStopsThatQueryResponseDemandsAreSentAtOnce failed before (one direct command, the query, instead of two).

--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -184,6 +184,7 @@
 			mc.Machine, am.now.MonotonicMS, hb.Incarnation, hb.Seq, hb.Token)
 		if disposition >= reconcile.Accept {
 			am.reconcileMachine(s, mc, hb, disposition)
+			am.sendPendingStops(s, mc)
 		}
 		return
 	}
@@ -202,6 +203,16 @@
 	s.recountOrphans(mc, hb.Tasks)
 }
 
+// sendPendingStops sends a machine's pending commands directly if they contain a stop. Without it, the response to a
+// task query would have to be followed by a heartbeat before a task that must not run is stopped. A stop without an
+// effect is sent again with the response to the next heartbeat.
+func (am *agentManager) sendPendingStops(s *shard, mc *machine) {
+	isStop := func(command Command) bool { return command.Kind == CommandStop }
+	if mc.addr != "" && slices.ContainsFunc(mc.commands, isStop) {
+		am.sendDirectCommand(s, mc, mc.Incarnation, nil)
+	}
+}
+
 // removeRefusedStarts removes the attempts of a direct command that the worker refused.
 func (am *agentManager) removeRefusedStarts(mc *machine, started []*attempt) {
 	for _, a := range started {
--- a/scheduler/unknown_tasks_simulation_test.go
+++ b/scheduler/unknown_tasks_simulation_test.go
@@ -3,12 +3,15 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/grebedock/grebedock/availability"
 	"github.com/grebedock/grebedock/emulator"
+	"github.com/grebedock/grebedock/internal/platformfake"
 	"github.com/grebedock/grebedock/scheduler"
 )
 
@@ -43,15 +46,35 @@
 	"short leases": {0.8, 6, 20},
 }
 
+// limitRun is a simulation with the time that each cancelled job's tasks ran on.
+type limitRun struct {
+	*testSimulation
+	ranOnMS map[string]int64 // by job ID: from the confirmed cancellation to the last time at which a task ran
+}
+
+// cancelSamplingMS is the interval at which tasks of cancelled jobs are looked for.
+const cancelSamplingMS = 50
+
+// observeCancelledJobs records how long the tasks of cancelled jobs run on.
+func (run *limitRun) observeCancelledJobs() {
+	run.EachTask(func(_ *emulator.Worker, t *platformfake.Task) {
+		if j := run.Jobs[t.Job.ID]; j.CancelConfirmedAt > 0 {
+			run.ranOnMS[t.Job.ID] = run.Now - j.CancelConfirmedAt
+		}
+	})
+	run.After(cancelSamplingMS, run.observeCancelledJobs)
+}
+
 // runRestartsWithCancelledJobs plays a team at its limit beside one without a limit. All members end again and again
 // while half of the machines cannot report, and jobs are cancelled before these machines report again.
-func runRestartsWithCancelledJobs(seed uint64, timing heartbeatTiming) *testSimulation {
+func runRestartsWithCancelledJobs(seed uint64, timing heartbeatTiming) *limitRun {
 	params := newParams(0)
 	limit := []float64{50, 70, 105}[seed%3]
 	params.Teams = map[string]scheduler.Team{limitedTeam: {MaxCPUs: limit}, "t1": {}}
 	params.HeartbeatS, params.LeaseS, params.CancelWithinS = timing.heartbeatS, timing.leaseS, timing.cancelWithinS
 	size := simScale{members: 3, capacityPerOffering: 12, maxTasks: 12}
-	sim := &testSimulation{size: size, noRandomFaults: true, adjustJob: adjustLimitedJob}
+	sim := &limitRun{ranOnMS: map[string]int64{}}
+	sim.testSimulation = &testSimulation{size: size, noRandomFaults: true, adjustJob: adjustLimitedJob}
 	sim.Simulation = emulator.New(emulator.Options{
 		Seed:                limitSimulationSeed + seed,
 		Members:             size.members,
@@ -63,6 +86,7 @@
 	})
 	sim.TraceEnabled = *traceSeed == int(seed)
 	sim.After(1, func() { sim.DelayCommands(lateCommandsShare, limitFaultWindowMS) })
+	sim.After(1, sim.observeCancelledJobs)
 	for at := int64(restartIntervalMS); at < limitFaultWindowMS; at += restartIntervalMS {
 		sim.restartWithCancelledJobs(at)
 	}
@@ -118,11 +142,41 @@
 // Guards against quota: starts beside tasks of cancelled jobs, which the members do not count, after all members end.
 func TestTeamStaysWithinLimitBesideTasksOfCancelledJobs(t *testing.T) {
 	for name, timing := range heartbeatTimings {
-		for _, seed := range limitScenarioSeeds() {
-			t.Run(fmt.Sprintf("%s/%d", strings.ReplaceAll(name, " ", "_"), seed), func(t *testing.T) {
-				t.Parallel()
-				runRestartsWithCancelledJobs(seed, timing).checkInvariants(t)
-			})
-		}
+		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+			var mutex sync.Mutex
+			var ranOnMS []int64
+			t.Cleanup(func() { checkOccurrences(t, ranOnMS) })
+			for _, seed := range limitScenarioSeeds() {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					run := runRestartsWithCancelledJobs(seed, timing)
+					run.checkInvariants(t)
+					mutex.Lock()
+					defer mutex.Unlock()
+					ranOnMS = append(ranOnMS, slices.Collect(maps.Values(run.ranOnMS))...)
+				})
+			}
+		})
+	}
+}
+
+// checkOccurrences requires that tasks of enough cancelled jobs ran on for longer than a report takes, and logs how
+// long they ran on.
+func checkOccurrences(t *testing.T, ranOnMS []int64) {
+	t.Helper()
+	if len(ranOnMS) == 0 {
+		return // a single seed of another timing is played
+	}
+	slices.Sort(ranOnMS)
+	late, _ := slices.BinarySearch(ranOnMS, 1000)
+	occurrences, sum := len(ranOnMS)-late, int64(0)
+	for _, ms := range ranOnMS {
+		sum += ms
+	}
+	t.Logf("%d cancelled jobs with tasks that ran on, %d for over a second; mean %d ms, p50 %d, p90 %d, longest %d",
+		len(ranOnMS), occurrences, sum/int64(len(ranOnMS)), ranOnMS[len(ranOnMS)/2], ranOnMS[len(ranOnMS)*9/10],
+		ranOnMS[len(ranOnMS)-1])
+	if *traceSeed < 0 && occurrences < len(quotaSeeds) {
+		t.Errorf("tasks of %d cancelled jobs ran on for over a second, want at least %d", occurrences, len(quotaSeeds))
 	}
 }
--- a/scheduler/unknown_tasks_test.go
+++ b/scheduler/unknown_tasks_test.go
@@ -102,3 +102,23 @@
 		t.Errorf("%v CPUs are held back after the unknown tasks have ended, want 0", usedByOps(ctrl, s))
 	}
 }
+
+// Guards against tasks of cancelled jobs that run on until the next heartbeat, although a task query has found them.
+func TestStopsThatQueryResponseDemandsAreSentAtOnce(t *testing.T) {
+	ctrl, s, _ := newControllerWithShard(t)
+	mc := addUnreportedMachine(ctrl, false)
+	oldTokenHeartbeat := testHeartbeat("i-2", 1, 5, unknownTasks(taskRunning)...)
+	ctrl.HandleHeartbeat(ctrl.now, 1, oldTokenHeartbeat)
+	ctrl.TakeOutputs()
+	ctrl.now.MonotonicMS += ctrl.maxHeartbeatIntervalMS()
+	ctrl.agents.queryUnreportedMachines(s)
+	response := testHeartbeat("i-2", 2, 11, unknownTasks(taskRunning)...)
+	ctrl.HandleDirectCommandResult(ctrl.now, ctrl.lastRequestID, DirectCommandResult{Outcome: OK, Heartbeat: &response})
+	if !mc.IsReconciled() {
+		t.Fatal("the response to a task query does not reconcile the machine")
+	}
+	commands := ctrl.TakeOutputs().DirectCommands
+	if len(commands) != 2 || len(commands[0].Commands) != 0 || len(commands[1].Commands) != 3 {
+		t.Errorf("got direct commands %+v, want a query, then stops of 3 tasks without a job", commands)
+	}
+}
