Log and measure why a team's limit allows a start

- debug: each start names its team, the allocation, and what was used and held back, by reason; each change of a team's allocations with its revision; each machine's first report under a claim with what was adopted, stopped and cleared.
- gauge grebedock_team_shard: limit, allocation, used, held back by reason, for each team with a limit and each owned shard; the same in /v1/status.
- warning and counter (over_allocation) when a machine's report shows more of a team in a shard than its allocation.
- 'token raised' names the token of its sending as the old one.

A start costs nothing more when debug is off.

--- a/internal/adminapi/metrics.go
+++ b/internal/adminapi/metrics.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/common/expfmt"
 
+	"github.com/grebedock/grebedock/quota"
 	"github.com/grebedock/grebedock/scheduler"
 )
 
@@ -80,6 +81,15 @@
 		"team",
 		"what",
 	)
+	descTeamShard = newDesc(
+		"team_shard",
+		"Amounts of a team with a limit in an owned shard: the limit, the shard's allocation, "+
+			"used by known attempts, and held back for unreported machines and for tasks without a job.",
+		"shard",
+		"team",
+		"resource",
+		"what",
+	)
 	descMachines = newDesc("machines", "Machines of the fleet.", "shard", "type")
 	descEvents   = newDesc("events_total", "Events since the member started.", "event")
 
@@ -92,7 +102,7 @@
 	descAuthority, descLeading, descJobs,
 	descQueued, descPlanInterval, descUnreported, descStatusRecords, descPaced, descWaitingClears, descOldestClearAge,
 	descRolloutMachines, descRollout, descRolloutStoppedTasks,
-	descTeam, descMachines, descEvents, descDirectCommands, descClears, descTokenRaises,
+	descTeam, descTeamShard, descMachines, descEvents, descDirectCommands, descClears, descTokenRaises,
 }
 
 // collector creates metrics from the core's status on each collection.
@@ -152,6 +162,30 @@
 		s.gauge(descPaced, boolValue(shard.Paced), shard.Shard)
 		s.gauge(descWaitingClears, float64(shard.WaitingClears), shard.Shard)
 		s.gauge(descOldestClearAge, shard.OldestClearAgeS, shard.Shard)
+		for i := range shard.Teams {
+			s.sendTeamShard(shard.Shard, &shard.Teams[i])
+		}
+	}
+}
+
+// sendTeamShard sends the amounts of a team in a shard, for the resources that its limit covers.
+func (s sender) sendTeamShard(shard string, usage *scheduler.TeamShardUsage) {
+	for _, amount := range []struct {
+		what    string
+		amounts quota.Amounts
+	}{
+		{"limit", usage.Limit},
+		{"allocation", usage.Allocation},
+		{"used", usage.Used},
+		{"unreported", usage.Unreported},
+		{"orphaned", usage.Orphaned},
+	} {
+		if usage.Limit.CPUs > 0 {
+			s.gauge(descTeamShard, amount.amounts.CPUs, shard, usage.Team, "cpus", amount.what)
+		}
+		if usage.Limit.GPUs > 0 {
+			s.gauge(descTeamShard, amount.amounts.GPUs, shard, usage.Team, "gpus", amount.what)
+		}
 	}
 }
 
@@ -225,6 +259,7 @@
 		{"confirmed", c.ConfirmedSubmissions},
 		{"unheard", c.UndeliveredStarts},
 		{"started_by_copy", c.StartedByCopy},
+		{"over_allocation", c.OverAllocations},
 	} {
 		s.counter(descEvents, event.count, event.name)
 	}
--- a/scheduler/admin_status.go
+++ b/scheduler/admin_status.go
@@ -45,6 +45,8 @@
 	// WaitingClears is the number of ended attempts whose clears wait for a higher token.
 	WaitingClears   int     `json:"waiting_clears"`
 	OldestClearAgeS float64 `json:"oldest_clear_age_s"`
+	// Teams is the usage of the teams with a limit.
+	Teams []TeamShardUsage `json:"teams,omitempty"`
 }
 
 // MachineStatus is a machine in a Status.
@@ -131,6 +133,9 @@
 		status.WaitingClears = count
 		status.OldestClearAgeS = float64(c.now.MonotonicMS-oldestAt) / 1000
 	}
+	for team := range sortedByKey(c.quotas.quotaLedgers) {
+		status.Teams = append(status.Teams, c.quotas.shardUsageOf(s, team))
+	}
 	for _, g := range c.placer.waitingTaskGroups(s) {
 		status.QueuedTasks += g.Remaining
 	}
--- a/scheduler/counters.go
+++ b/scheduler/counters.go
@@ -47,6 +47,8 @@
 	StaleHeartbeats      uint64 `json:"old_report"` // heartbeats not newer than one received before
 	ConfirmedSubmissions uint64 `json:"confirmed"`  // submissions answered from their record before the write ended
 	UndeliveredStarts    uint64 `json:"unheard"`    // starts in heartbeat responses that workers did not receive
+	// OverAllocations counts reports that showed more of a team in a shard than its allocation.
+	OverAllocations uint64 `json:"over_allocation"`
 }
 
 // CommandCounters counts direct commands by outcome, clears by reason and raises of a shard's fencing token by
--- a/scheduler/heartbeats.go
+++ b/scheduler/heartbeats.go
@@ -141,20 +141,41 @@
 		am.log(Info, "machine in a new incarnation", "machine", hb.Machine, "tasks", mc.liveAttemptCount)
 		am.removeAllAttempts(mc)
 	}
-	if !mc.everReconciled {
+	isFirstReport := !mc.everReconciled
+	if isFirstReport {
 		mc.everReconciled, s.dirty = true, true
 	}
+	adoptedBefore := am.Counters.AdoptedTasks
 	s.reconciler.Ledger.Remove(mc.id)
 	mc.directCommandRefused = false
 	mc.commands = mc.commands[:0]
 	am.updateTerminationNotice(s, mc, hb)
 	am.reconcileTasks(s, mc, hb)
+	if isFirstReport {
+		am.logFirstReport(s, mc, am.Counters.AdoptedTasks-adoptedBefore)
+	}
+	am.quotas.checkAllocations(s, mc)
 	if !mc.Up && !mc.releasing && !slices.Contains(s.newlyLive, mc.id) {
 		s.newlyLive = append(s.newlyLive, mc.id)
 		am.registry.writeLiveMachines(s)
 	}
 }
 
+// logFirstReport logs the result of a machine's first report under a claim.
+func (am *agentManager) logFirstReport(s *shard, mc *machine, adopted uint64) {
+	if !am.isDebugLogged() {
+		return
+	}
+	clears := 0
+	for _, command := range mc.commands {
+		if command.Kind == CommandClear {
+			clears++
+		}
+	}
+	am.log(Debug, "machine reconciled", "machine", mc.id, "shard", s.name, "token", s.token,
+		"tasks", mc.reportedTasks, "adopted", adopted, "stopped", mc.orphanedTasks, "cleared", clears)
+}
+
 // updateTerminationNotice records when the cloud provider will terminate the machine, according to
 // its latest heartbeat.
 func (am *agentManager) updateTerminationNotice(s *shard, mc *machine, hb *Heartbeat) {
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -108,6 +108,7 @@
 	reclaimedUsage        map[string]quota.Amounts          // usage being reclaimed for other teams' guarantees
 	placeableDemand       map[string]quota.Amounts          // limited teams' waiting work that fits, at the last plan
 	nextProposalAt        int64                             // no team record is written before this time
+	overAllocation        map[string]bool                   // whose reported attempts exceed the allocation
 }
 
 // planSchedule determines when the shard is planned next.
@@ -180,6 +181,7 @@
 		firstTaskReservations: map[string]*Job{},
 		reclaimedUsage:        map[string]quota.Amounts{},
 		placeableDemand:       map[string]quota.Amounts{},
+		overAllocation:        map[string]bool{},
 	}
 }
 
--- a/scheduler/shard_claims.go
+++ b/scheduler/shard_claims.go
@@ -195,10 +195,11 @@
 	}
 	key := claimKey(s.name)
 	value := mustEncode(claimRecord{sm.params.MemberID, s.nonce})
+	oldToken := s.token // the watch may bring the new one before the response
 	op := StoreOp{
 		Kind:          StoreTxn,
 		Urgency:       urgency,
-		Preconditions: []Precondition{{key, s.token}},
+		Preconditions: []Precondition{{key, oldToken}},
 		Changes:       []Change{{Key: key, Value: value, LeaseID: leaseID}},
 	}
 	sm.store.sendStore(op, func(r StoreResult) {
@@ -208,7 +209,7 @@
 			return
 		}
 		sm.countRaise(reason)
-		sm.log(Info, "token raised", "shard", s.name, "token", r.Rev, "old", s.token, "reason", reason)
+		sm.log(Info, "token raised", "shard", s.name, "token", r.Rev, "old", oldToken, "reason", reason)
 		sm.cache.applyChange(KeyValue{Key: key, Value: value, Rev: r.Rev})
 	})
 }
--- a/scheduler/task_starts.go
+++ b/scheduler/task_starts.go
@@ -101,13 +101,22 @@
 	mc.useReservation(tr)
 	am.placer.repayDebt(s, j)
 	am.countStart(tr)
-	if am.isDebugLogged() {
-		am.log(Debug, "start", "task", a.key.task, "attempt", a.key.attempt, "machine", mc.id,
-			"shard", s.name, "token", s.token, "incarnation", a.incarnation)
-	}
+	am.logStart(s, a)
 	mc.commands = append(mc.commands, Command{Kind: CommandStart, Task: a.key.task, Attempt: a.key.attempt})
 }
 
+// logStart logs a start, with what its team used before it and was held back, by reason.
+func (am *agentManager) logStart(s *shard, a *attempt) {
+	if !am.isDebugLogged() {
+		return
+	}
+	usage := am.quotas.shardUsageOf(s, a.job.Team)
+	am.log(Debug, "start", "task", a.key.task, "attempt", a.key.attempt, "machine", a.machine.id,
+		"shard", s.name, "token", s.token, "incarnation", a.incarnation, "team", a.job.Team,
+		"allocation", usage.Allocation, "used", usage.Used.Sub(amountsOf(a.job.Request)),
+		"unreported", usage.Unreported, "orphaned", usage.Orphaned)
+}
+
 // useReservation deducts a start of a range from the machine's reservation.
 func (dispatch *machineDispatch) useReservation(tr *taskRange) {
 	reserved := dispatch.reservation
--- a/scheduler/team_records.go
+++ b/scheduler/team_records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 
 	"github.com/grebedock/grebedock/quota"
 )
@@ -12,6 +13,7 @@
 	if ledger == nil {
 		return nil // the team no longer has a limit
 	}
+	before := qm.loggedAllocations(ledger)
 	if kv.Value == nil {
 		ledger.Observe(nil, 0)
 	} else {
@@ -21,10 +23,22 @@
 		}
 		ledger.Observe(&rec, kv.Rev)
 	}
+	if after := qm.loggedAllocations(ledger); !maps.Equal(before, after) {
+		qm.log(Debug, "allocations changed", "team", kv.Key[len(teamPrefix):], "revision", kv.Rev,
+			"before", before, "allocations", after)
+	}
 	qm.cache.invalidatePlans()
 	return nil
 }
 
+// loggedAllocations returns the allocations of a team's limit if their changes are logged.
+func (qm *quotaManager) loggedAllocations(ledger *quota.Ledger) map[string]quota.Amounts {
+	if !qm.isDebugLogged() {
+		return nil
+	}
+	return ledger.Allocations()
+}
+
 // homeShard returns the shard that receives the tasks of a new job that are assigned to no other
 // shard.
 func (qm *quotaManager) homeShard(j *Job) string {
--- a/scheduler/team_usage.go
+++ b/scheduler/team_usage.go
@@ -49,6 +49,48 @@
 	return usage
 }
 
+// checkAllocations warns when a machine's report shows that a team uses more of a shard than its allocation.
+func (qm *quotaManager) checkAllocations(s *shard, mc *machine) {
+	checked := ""
+	for _, a := range mc.byKey {
+		if team := a.job.Team; team != checked {
+			checked = team
+			qm.checkAllocation(s, team, mc)
+		}
+	}
+}
+
+// checkAllocation warns once while a team's live attempts use more of a shard than the team's allocation.
+func (qm *quotaManager) checkAllocation(s *shard, team string, mc *machine) {
+	allocation, settings, limited := qm.teamAllocation(s, team)
+	if !limited {
+		return
+	}
+	used := limitedUsage(settings, amountsOf(s.usage[team]))
+	exceeds := !allocation.Contains(used)
+	if exceeds && !s.overAllocation[team] {
+		qm.Counters.OverAllocations++
+		qm.log(Warn, "team uses more than its allocation", "team", team, "shard", s.name, "token", s.token,
+			"used", used, "allocation", allocation, "machine", mc.id)
+	}
+	if exceeds {
+		s.overAllocation[team] = true
+	} else {
+		delete(s.overAllocation, team)
+	}
+}
+
+// limitedUsage returns the part of a usage to which a team's limit applies.
+func limitedUsage(settings Team, used quota.Amounts) quota.Amounts {
+	if settings.MaxCPUs <= 0 {
+		used.CPUs = 0
+	}
+	if settings.MaxGPUs <= 0 {
+		used.GPUs = 0
+	}
+	return used
+}
+
 // TeamShardUsage is a team's limit and allocation in a shard, and the upper bound on its usage of the shard's machines.
 type TeamShardUsage struct {
 	Team       string        `json:"team"`
