--- a/scheduler/unknown_tasks_simulation_test.go
+++ b/scheduler/unknown_tasks_simulation_test.go
@@ -35,6 +35,7 @@
 	partitionedShare    = 0.5 // of the machines
 	cancelledShare      = 0.5 // of the limited team's jobs
 	lateCommandsShare   = 0.8
+	lostShare           = 0.1    // of responses of the state service that are lost, and of heartbeats that arrive again
 	limitSimulationSeed = 60_000 // added to the scenario's seeds
 )
 
@@ -65,16 +66,55 @@
 	run.After(cancelSamplingMS, run.observeCancelledJobs)
 }
 
-// runRestartsWithCancelledJobs plays a team at its limit beside one without a limit. All members end again and again
-// while half of the machines cannot report, and jobs are cancelled before these machines report again.
-func runRestartsWithCancelledJobs(seed uint64, timing heartbeatTiming) *limitRun {
-	params := newParams(0)
+// limitScenario is the teams of a simulation, and its faults besides ends of all members.
+type limitScenario struct {
+	teams          map[string]scheduler.Team
+	cancelledTeams []string // whose jobs are cancelled while machines cannot report
+	adjustJob      func(*scheduler.Job, int)
+	inject         func(*limitRun)
+}
+
+// limitedBesideUnlimited is a team at its limit beside one without a limit, whose starts do not wait for it.
+func limitedBesideUnlimited(seed uint64) limitScenario {
+	limit := []float64{50, 70, 105}[seed%3]
+	return limitScenario{
+		teams:          map[string]scheduler.Team{limitedTeam: {MaxCPUs: limit}, "t1": {}},
+		cancelledTeams: []string{limitedTeam},
+		adjustJob:      adjustLimitedJob,
+		inject:         func(run *limitRun) { run.DelayCommands(lateCommandsShare, limitFaultWindowMS) },
+	}
+}
+
+// allTeamsLimited has three teams, each at its limit. Commands and reports are late, and responses are lost.
+func allTeamsLimited(seed uint64) limitScenario {
 	limit := []float64{50, 70, 105}[seed%3]
-	params.Teams = map[string]scheduler.Team{limitedTeam: {MaxCPUs: limit}, "t1": {}}
+	teams := equalTeams(3, scheduler.Team{MaxCPUs: limit})
+	return limitScenario{
+		teams:          teams,
+		cancelledTeams: slices.Sorted(maps.Keys(teams)),
+		adjustJob: func(j *scheduler.Job, n int) {
+			adjustLimitedJob(j, n)
+			j.Team = fmt.Sprintf("t%d", n%len(teams))
+		},
+		inject: func(run *limitRun) {
+			run.DelayCommands(lateCommandsShare/2, limitFaultWindowMS)
+			run.DuplicateCommands(lateCommandsShare/2, limitFaultWindowMS)
+			run.ReplayHeartbeats(lostShare, limitFaultWindowMS)
+			run.LoseResponses(lostShare, limitFaultWindowMS)
+			run.MessageLoss = lostShare / 4
+		},
+	}
+}
+
+// runRestartsWithCancelledJobs plays a scenario in which all members end again and again while half of the machines
+// cannot report, and jobs are cancelled before these machines report again.
+func runRestartsWithCancelledJobs(seed uint64, timing heartbeatTiming, scenario limitScenario) *limitRun {
+	params := newParams(0)
+	params.Teams = scenario.teams
 	params.HeartbeatS, params.LeaseS, params.CancelWithinS = timing.heartbeatS, timing.leaseS, timing.cancelWithinS
 	size := simScale{members: 3, capacityPerOffering: 12, maxTasks: 12}
 	sim := &limitRun{ranOnMS: map[string]int64{}}
-	sim.testSimulation = &testSimulation{size: size, noRandomFaults: true, adjustJob: adjustLimitedJob}
+	sim.testSimulation = &testSimulation{size: size, noRandomFaults: true, adjustJob: scenario.adjustJob}
 	sim.Simulation = emulator.New(emulator.Options{
 		Seed:                limitSimulationSeed + seed,
 		Members:             size.members,
@@ -85,10 +125,10 @@
 		TaskRunMS:           taskRunsFor(10_000, 40_000),
 	})
 	sim.TraceEnabled = *traceSeed == int(seed)
-	sim.After(1, func() { sim.DelayCommands(lateCommandsShare, limitFaultWindowMS) })
+	sim.After(1, func() { scenario.inject(sim) })
 	sim.After(1, sim.observeCancelledJobs)
 	for at := int64(restartIntervalMS); at < limitFaultWindowMS; at += restartIntervalMS {
-		sim.restartWithCancelledJobs(at)
+		sim.restartWithCancelledJobs(at, scenario.cancelledTeams)
 	}
 	sim.runScenario(limitFaultWindowMS, limitScenarioEndMS, limitScenarioJobs)
 	return sim
@@ -105,8 +145,8 @@
 	}
 }
 
-// restartWithCancelledJobs ends all members at a time, and cancels jobs of the limited team after they are back.
-func (sim *testSimulation) restartWithCancelledJobs(at int64) {
+// restartWithCancelledJobs ends all members at a time, and cancels jobs of the given teams after they are back.
+func (sim *testSimulation) restartWithCancelledJobs(at int64, teams []string) {
 	sim.After(at-partitionLeadMS, func() {
 		sim.SampleLiveWorkers(partitionedShare, func(worker *emulator.Worker) {
 			sim.PartitionOutbound(worker, sim.randomBetween(5000, 8000))
@@ -121,7 +161,7 @@
 		for _, id := range sim.JobIDs {
 			j := sim.Jobs[id]
 			isOpen := j.Accepted && !j.CancelRequested && !j.ObservedState.IsTerminal()
-			if isOpen && j.Spec.Team == limitedTeam && sim.Rand.Float64() < cancelledShare {
+			if isOpen && slices.Contains(teams, j.Spec.Team) && sim.Rand.Float64() < cancelledShare {
 				sim.CancelJob(j)
 			}
 		}
@@ -141,15 +181,26 @@
 
 // Guards against quota: starts beside tasks of cancelled jobs, which the members do not count, after all members end.
 func TestTeamStaysWithinLimitBesideTasksOfCancelledJobs(t *testing.T) {
+	playLimitScenarios(t, limitScenarioSeeds(), limitedBesideUnlimited)
+}
+
+// Guards against quota: every team is at its limit, and jobs of all are cancelled, while members end together.
+func TestTeamsStayWithinLimitsWhileMembersEndTogether(t *testing.T) {
+	playLimitScenarios(t, limitScenarioSeeds(), allTeamsLimited)
+}
+
+// playLimitScenarios plays a scenario with each timing and seed.
+func playLimitScenarios(t *testing.T, seeds []uint64, scenario func(seed uint64) limitScenario) {
+	t.Helper()
 	for name, timing := range heartbeatTimings {
 		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
 			var mutex sync.Mutex
 			var ranOnMS []int64
 			t.Cleanup(func() { checkOccurrences(t, ranOnMS) })
-			for _, seed := range limitScenarioSeeds() {
+			for _, seed := range seeds {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					t.Parallel()
-					run := runRestartsWithCancelledJobs(seed, timing)
+					run := runRestartsWithCancelledJobs(seed, timing, scenario(seed))
 					run.checkInvariants(t)
 					mutex.Lock()
 					defer mutex.Unlock()
