--- a/scheduler/counters.go
+++ b/scheduler/counters.go
@@ -9,6 +9,7 @@
 	RequestCounters
 	RecoveryCounters
 	CommandCounters
+	LimitCounters
 }
 
 // PlacementCounters counts task starts and losses, shard claims, and provisioned and released machines.
@@ -47,8 +48,6 @@
 	StaleHeartbeats      uint64 `json:"old_report"` // heartbeats not newer than one received before
 	ConfirmedSubmissions uint64 `json:"confirmed"`  // submissions answered from their record before the write ended
 	UndeliveredStarts    uint64 `json:"unheard"`    // starts in heartbeat responses that workers did not receive
-	// OverAllocations counts reports that showed more of a team in a shard than its allocation.
-	OverAllocations uint64 `json:"over_allocation"`
 }
 
 // CommandCounters counts direct commands by outcome, clears by reason and raises of a shard's fencing token by
@@ -64,3 +63,9 @@
 	RaisesForClears        uint64 `json:"raised_clears"`
 	StartedByCopy          uint64 `json:"started_by_copy"` // attempts that a late copy of a command started again
 }
+
+// LimitCounters counts what was found about teams' limits.
+type LimitCounters struct {
+	// OverAllocations counts reports that showed more of a team in a shard than its allocation.
+	OverAllocations uint64 `json:"over_allocation"`
+}
--- a/scheduler/unknown_tasks_simulation_test.go
+++ b/scheduler/unknown_tasks_simulation_test.go
@@ -15,9 +15,8 @@
 	"github.com/grebedock/grebedock/scheduler"
 )
 
-// unknownTaskSeeds is the number of seeds of TestTeamStaysWithinLimitBesideTasksOfCancelledJobs besides quotaSeeds. A
-// run by hand can play more.
-var unknownTaskSeeds = flag.Uint64("unknown-task-seeds", 8, "number of seeds of simulations with tasks of cancelled jobs")
+// unknownTaskSeeds is the number of seeds of the tests in this file besides quotaSeeds. A run by hand can play more.
+var unknownTaskSeeds = flag.Uint64("unknown-task-seeds", 8, "number of seeds with tasks of cancelled jobs")
 
 // quotaSeeds are seeds with which teams exceeded their limits.
 var quotaSeeds = []uint64{24, 168, 233}
@@ -50,7 +49,17 @@
 // limitRun is a simulation with the time that each cancelled job's tasks ran on.
 type limitRun struct {
 	*testSimulation
-	ranOnMS map[string]int64 // by job ID: from the confirmed cancellation to the last time at which a task ran
+	ranOnMS       map[string]int64 // by job ID: from the confirmed cancellation to the last time at which a task ran
+	refusedStarts int              // for lack of resources
+}
+
+// countRefusedStarts counts the starts that workers refuse for lack of resources.
+func (run *limitRun) countRefusedStarts() {
+	run.observeLogs(func(_ *emulator.Member, line scheduler.LogLine) {
+		if line.Message == "start refused" && slices.Contains(line.Args, any("no_room")) {
+			run.refusedStarts++
+		}
+	})
 }
 
 // cancelSamplingMS is the interval at which tasks of cancelled jobs are looked for.
@@ -127,6 +136,7 @@
 	sim.TraceEnabled = *traceSeed == int(seed)
 	sim.After(1, func() { scenario.inject(sim) })
 	sim.After(1, sim.observeCancelledJobs)
+	sim.countRefusedStarts()
 	for at := int64(restartIntervalMS); at < limitFaultWindowMS; at += restartIntervalMS {
 		sim.restartWithCancelledJobs(at, scenario.cancelledTeams)
 	}
@@ -196,7 +206,11 @@
 		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
 			var mutex sync.Mutex
 			var ranOnMS []int64
-			t.Cleanup(func() { checkOccurrences(t, ranOnMS) })
+			refusedStarts := 0
+			t.Cleanup(func() {
+				t.Logf("%d starts refused for lack of resources", refusedStarts)
+				checkOccurrences(t, ranOnMS)
+			})
 			for _, seed := range seeds {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					t.Parallel()
@@ -205,6 +219,7 @@
 					mutex.Lock()
 					defer mutex.Unlock()
 					ranOnMS = append(ranOnMS, slices.Collect(maps.Values(run.ranOnMS))...)
+					refusedStarts += run.refusedStarts
 				})
 			}
 		})
