--- a/scheduler/team_usage_test.go
+++ b/scheduler/team_usage_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// The usage of a team with a limit, as operators see it, names what is held back for unreported machines and for tasks
+// The status of a team with a limit contains the amounts held back for unreported machines and for tasks
 // without a job.
 func TestShardStatusNamesWhatIsHeldBack(t *testing.T) {
 	ctrl, _, _ := newMachineWithUnknownTasks(t)
@@ -62,7 +62,7 @@
 	}
 }
 
-// A debug line of a start says why the team's limit allowed it.
+// The debug line of a start contains the amounts with which its team's limit allowed it.
 func TestStartIsLoggedWithItsTeamsUsage(t *testing.T) {
 	ctrl, s, mc := newMachineWithUnknownTasks(t)
 	ctrl.params.Debug = true
--- a/scheduler/unknown_tasks_simulation_test.go
+++ b/scheduler/unknown_tasks_simulation_test.go
@@ -83,7 +83,7 @@
 	inject         func(*limitRun)
 }
 
-// limitedBesideUnlimited is a team at its limit beside one without a limit, whose starts do not wait for it.
+// limitedBesideUnlimited is a team at its limit next to one without a limit, whose starts do not wait for it.
 func limitedBesideUnlimited(seed uint64) limitScenario {
 	limit := []float64{50, 70, 105}[seed%3]
 	return limitScenario{
@@ -189,7 +189,7 @@
 	return seeds
 }
 
-// Guards against quota: starts beside tasks of cancelled jobs, which the members do not count, after all members end.
+// Guards against quota: starts next to tasks of cancelled jobs, which the members do not count, after all members end.
 func TestTeamStaysWithinLimitBesideTasksOfCancelledJobs(t *testing.T) {
 	playLimitScenarios(t, limitScenarioSeeds(), limitedBesideUnlimited)
 }
--- a/scheduler/unknown_tasks_test.go
+++ b/scheduler/unknown_tasks_test.go
@@ -41,7 +41,7 @@
 func TestStartBesideUnknownTasksLowersNoTeamsUsage(t *testing.T) {
 	ctrl, s, mc := newMachineWithUnknownTasks(t)
 	if used := usedByOps(ctrl, s); used != 7 {
-		t.Fatalf("beside 1 known CPU of 8, %v CPUs are held back for unknown tasks, want 7", used)
+		t.Fatalf("next to 1 known CPU of 8, %v CPUs are held back for unknown tasks, want 7", used)
 	}
 	tr := ctrl.cache.jobs["job-000002"].taskRanges[0]
 	heartbeat := testHeartbeat("i-1", 4, 11)
@@ -72,14 +72,14 @@
 		return starts
 	}
 	if starts := planAndStart(); starts != 0 {
-		t.Errorf("%d starts beside unknown tasks, want none", starts)
+		t.Errorf("%d starts next to unknown tasks, want none", starts)
 	}
 	if free := ctrl.agents.freeResources(mc); free.CPUs != 0 {
-		t.Errorf("%v CPUs are free beside unknown tasks, want 0", free.CPUs)
+		t.Errorf("%v CPUs are free next to unknown tasks, want 0", free.CPUs)
 	}
 	ctrl.placer.planShard(s)
 	if planned := mc.plannedStarts; len(planned) != 0 {
-		t.Errorf("%d groups of starts are planned beside unknown tasks, want none", len(planned))
+		t.Errorf("%d groups of starts are planned next to unknown tasks, want none", len(planned))
 	}
 	reportUnknownTasks(ctrl, 5, 11, taskExited)
 	if starts := planAndStart(); starts != 7 {
