Review: number the older answer after a cancellation as case 8

Cause: the cases are ordered by gravity, and graver ones were found.

Change: case 5 becomes case 8; its test is unchanged.

--- a/review/5/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the command of deploy/service.toml, then review/build-2.sh" >&2
 	exit 2
 fi
-exec target/rig2 late-read review/5
+exec target/rig2 late-read review/8
