--- a/review/testdata/rig2/worker.go
+++ b/review/testdata/rig2/worker.go
@@ -121,6 +121,22 @@
 	}
 }
 
+// free returns the CPUs and the memory that no task takes, 0 on a machine that is not up.
+func (w *worker) free() (cpus, mem float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.up || w.gone || w.cut != nil {
+		return 0, 0
+	}
+	cpus, mem = w.hull.cpus, w.hull.mem
+	for _, c := range w.chicks {
+		if c.state != "ended" {
+			cpus, mem = cpus-c.spec.CPUs, mem-c.spec.MemoryGB
+		}
+	}
+	return cpus, mem
+}
+
 // observe sets what is called after each answer.
 func (w *worker) observe(f func(w *worker, sent time.Time, raised bool, stops int)) {
 	w.mu.Lock()
