Review: keep the jobs that fill machines with their own controllers

One of the jobs that fill the other machines was submitted before its own controller's machine was listed, moved to the machine of the case, and took the room there.

Change: these jobs of the cases 6 and 7 are bound to one zone, which keeps them with their own controllers. The checks and the disruptions are as before.

--- a/review/testdata/rig2/cases.go
+++ b/review/testdata/rig2/cases.go
@@ -248,6 +248,7 @@
 	atLimit.Crew, bound.Crew, bound.SamePlace = "metering-ops-03", "metering-ops-00", true
 	others := []job{readJob("job-000003", 1, 600), readJob("job-000004", 1, 600)}
 	others[0].Crew, others[1].Crew = "metering-ops-01", "metering-ops-02"
+	others[0].SamePlace, others[1].SamePlace = true, true // so that they stay with their own controllers
 	for _, j := range append(others, atLimit, bound) {
 		r.submit(r.nodes[1], j)
 	}
@@ -377,13 +378,16 @@
 	work := func(crew, chicks int, cheap bool) job {
 		j := readJob("", chicks, 300)
 		j.Crew, j.Driftwood = fmt.Sprintf("metering-ops-%02d", crew), cheap
+		j.SamePlace = true // so that it stays with its team's own controller
 		return j
 	}
 	// All machines are filled, but for the ordinary one of the first team's controller.
 	start(work(0, 1, false), work(1, 4, false), work(2, 4, false))
 	start(work(0, 4, true), work(1, 4, true), work(2, 4, true))
 	start(work(1, 4, true), work(2, 4, true))
-	last := start(work(0, 4, true))
+	plain := work(0, 4, true)
+	plain.SamePlace = false
+	last := start(plain)
 	var lost *machine
 	for _, m := range r.cloud.all() {
 		r.note(m.id, "spot %v, owner %s, runs %d tasks of %s", m.spot, m.worker.answeredBy, m.worker.running(last.Ref), last.Ref)
