First response of a new owner waits for a task query

Cause: a report with an older token is answered with 200 and the new token, and its content is not used. The answer renews the worker's lease while tasks of ended jobs go on. The bound in access.LeaseTTLMS ended with the last answer of the earlier owner.

Fix: within a lease of the claim, such a report gets no answer before a task query under the claim's token is answered (reconcile.QueryTasks, queryBeforeRenewal). The query carries the stops that the first report proves, raises the worker's token, so that no delayed start of the earlier owner begins anything later, and lists all tasks. Without an answer the report is refused and the lease runs on. A lease after the claim every earlier session has ended, and a worker without a token has been sent no direct command: these are answered at once.

Unknown tasks in first reports are also counted where the query stops them.

--- a/access/access.go
+++ b/access/access.go
@@ -106,14 +106,23 @@
 )
 
 // LeaseTTLMS returns the maximum TTL of a member's lease, and thereby of its authority, if a cancelled
-// task must end within cancelMS and a worker's lease is leaseMS. The worst case is a leader that a peer's
-// confirmed cancellation does not reach. Its bound, counted from the confirmation, is:
+// task must end within cancelMS and a worker's lease is leaseMS. Every task ends with its worker's lease
+// at the latest, and only the response to a heartbeat renews that lease. So the bound counts from the
+// last response under which the task may run or start, whoever sends it. The time of each response,
+// counted from the confirmation of the cancellation, is:
 //
-//	the leader's last proof was sent before the confirmation  at most 0
-//	the leader's authority lasts                              + TTL, less drift and slack
-//	the last heartbeat it responds to was sent before its end + 0
-//	the worker's lease, from the sending of the heartbeat     + leaseMS, and drift of the worker's clock
-//	the worker notices the expiry and kills the task          + a tick of the worker
+//	a member that does not know of the cancellation:
+//	  its last proof was sent before the confirmation             at most 0
+//	  its authority lasts                                         + TTL, less drift and slack
+//	a member that knows of it: the response stops the task; 0
+//	a new owner, to a worker with an earlier owner's token: it responds after a task query, and knows all
+//	  tasks; as above
+//
+// From the response on, the bound is:
+//
+//	the heartbeat was sent before the response                    + 0
+//	the worker's lease, from the sending of the heartbeat         + leaseMS, and drift of the worker's clock
+//	the worker notices the expiry and kills the task              + a tick of the worker
 //
 // The share and the margin are needed when cancel_s is little more than a large lease_s. Without them,
 // no time remains for the drift of the worker's clock over its own lease (0.3 s of 600 s). A result
--- a/emulator/members.go
+++ b/emulator/members.go
@@ -344,6 +344,7 @@
 
 func (sim *Simulation) runDirectCommand(m *Member, epoch int, worker *Worker, command scheduler.DirectCommand) {
 	sim.deliverToWorker(worker, func() {
+		sim.observeWorkerMessage(worker, command.Token, false)
 		result := worker.Agent.ApplyDirectCommand(worker.Clock(sim), command)
 		sim.duplicateCommand(m, epoch, worker, command)
 		respond := m.inEpoch(epoch, func() { m.Core.HandleDirectCommandResult(m.Clock(), command.ID, result) })
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -96,6 +96,9 @@
 	// OnTaskStop is called for each task that a worker is commanded to stop with a grace period
 	// while its job is active. The rule "stopped_well" checks stops without a grace period.
 	OnTaskStop func(*Worker, *platformfake.Task)
+	// OnWorkerMessage is called when a heartbeat response, which renews the lease, or a direct command reaches
+	// a worker, before the worker executes or refuses it.
+	OnWorkerMessage func(worker *Worker, token uint64, renewsLease bool)
 	// OnTaskDone is called for each task that is done.
 	OnTaskDone func(*platformfake.Task)
 
--- a/emulator/team_usage.go
+++ b/emulator/team_usage.go
@@ -33,7 +33,7 @@
 func (sim *Simulation) checkShardUsage(m *Member, shard *scheduler.ShardUsage) {
 	usage := map[string]quota.Amounts{}
 	for _, id := range shard.Machines {
-		sim.eachTaskOn(sim.Workers[id], func(t *platformfake.Task) {
+		sim.EachTaskOn(sim.Workers[id], func(t *platformfake.Task) {
 			usage[t.Job.Team] = usage[t.Job.Team].Add(amountsOf(t))
 		})
 	}
@@ -53,7 +53,7 @@
 	var machines []string
 	for _, id := range shard.Machines {
 		var used quota.Amounts
-		sim.eachTaskOn(sim.Workers[id], func(t *platformfake.Task) {
+		sim.EachTaskOn(sim.Workers[id], func(t *platformfake.Task) {
 			if t.Job.Team == team {
 				used = used.Add(amountsOf(t))
 			}
--- a/emulator/workers.go
+++ b/emulator/workers.go
@@ -287,7 +287,7 @@
 		sim.After(connectTimeoutMS, exchange.tryNextMember)
 		return
 	}
-	endpoint := worker.endpoint()
+	endpoint := worker.Endpoint()
 	sim.sendMessage(endpoint, exchange.member.Name, exchange.deliver)
 	if sim.Rand.Float64() < duplicateHeartbeatShare {
 		sim.sendMessage(endpoint, exchange.member.Name, exchange.deliver)
@@ -295,7 +295,8 @@
 	sim.After(heartbeatTimeoutMS, exchange.fail)
 }
 
-func (worker *Worker) endpoint() string { return "w" + worker.Instance.ID }
+// Endpoint returns the name of the machine in the network.
+func (worker *Worker) Endpoint() string { return "w" + worker.Instance.ID }
 
 // fail ends an exchange without a response, unless it has finished.
 func (x *heartbeatExchange) fail() {
@@ -320,14 +321,14 @@
 	}
 	if m.Core == nil || sim.RefusesConnection != nil && sim.RefusesConnection(m.Name) {
 		// Refused: the member is down or has no connection left.
-		sim.sendMessage(m.Name, worker.endpoint(), x.fail)
+		sim.sendMessage(m.Name, worker.Endpoint(), x.fail)
 		return
 	}
 	m.lastReplyID++
 	replyID := m.lastReplyID
 	if x.delivered { // the worker ignores the response to a duplicate
 		m.pendingHeartbeats[replyID] = func(scheduler.HeartbeatResponse) {
-			sim.sendMessage(m.Name, worker.endpoint(), func() {})
+			sim.sendMessage(m.Name, worker.Endpoint(), func() {})
 		}
 		m.Core.HandleHeartbeat(m.Clock(), replyID, x.heartbeat)
 		m.dispatchOutputs()
@@ -338,7 +339,7 @@
 		if sim.options.InjectedFault.WorkerResponse != nil {
 			sim.options.InjectedFault.WorkerResponse(&resp)
 		}
-		sim.sendMessage(m.Name, worker.endpoint(), func() { x.receiveResponse(resp) })
+		sim.sendMessage(m.Name, worker.Endpoint(), func() { x.receiveResponse(resp) })
 	}
 	m.Core.HandleHeartbeat(m.Clock(), replyID, x.heartbeat)
 	m.dispatchOutputs()
@@ -359,6 +360,7 @@
 	switch {
 	case resp.Accepted:
 		worker.heartbeatInFlight, worker.AcknowledgedAt = false, sim.Now
+		sim.observeWorkerMessage(worker, resp.Token, true)
 		worker.Agent.ApplyHeartbeatResponse(worker.Clock(sim), x.sentAt, x.incarnation, resp)
 	case resp.RedirectTo != "":
 		worker.heartbeatInFlight = false
@@ -369,16 +371,22 @@
 	}
 }
 
+func (sim *Simulation) observeWorkerMessage(worker *Worker, token uint64, renewsLease bool) {
+	if sim.OnWorkerMessage != nil {
+		sim.OnWorkerMessage(worker, token, renewsLease)
+	}
+}
+
 // EachTask calls visit for every task on every existing machine.
 func (sim *Simulation) EachTask(visit func(worker *Worker, t *platformfake.Task)) {
 	for _, id := range sim.WorkerIDs {
 		worker := sim.Workers[id]
-		sim.eachTaskOn(worker, func(t *platformfake.Task) { visit(worker, t) })
+		sim.EachTaskOn(worker, func(t *platformfake.Task) { visit(worker, t) })
 	}
 }
 
-// eachTaskOn calls visit for every task on a machine. A machine that is nil, gone or has no lease has none.
-func (sim *Simulation) eachTaskOn(worker *Worker, visit func(*platformfake.Task)) {
+// EachTaskOn calls visit for every task on a machine. A machine that is nil, gone or has no lease has none.
+func (sim *Simulation) EachTaskOn(worker *Worker, visit func(*platformfake.Task)) {
 	if worker == nil || worker.Gone || !worker.Up || worker.Agent.IsLeaseExpired(worker.Clock(sim)) {
 		return
 	}
--- a/reconcile/machine.go
+++ b/reconcile/machine.go
@@ -6,7 +6,7 @@
 // The states of a machine. The package comment lists the transitions.
 const (
 	NoHeartbeat  MachineState = iota // no heartbeat received since the claim
-	Notified                         // it sent a heartbeat, and the response carries the claim's fencing token
+	Notified                         // it sent a heartbeat, and a response or query carries the claim's fencing token
 	Reconciled                       // it reported its tasks with the claim's fencing token, and these are counted
 	LeaseExpired                     // no heartbeat for longer than its lease
 )
@@ -21,6 +21,7 @@
 // The dispositions of a heartbeat. From Accept on, the owner applies the tasks that it reports.
 const (
 	Stale                Disposition = iota // outdated: it is ignored and gets no response
+	QueryTasks                              // it gets no response before a task query has been answered
 	RenewOnly                               // it gets a response, but its content is outdated
 	NotifyToken                             // it gets a response with the claim's fencing token; its content is ignored
 	Accept                                  // it lists the tasks on the machine
--- a/reconcile/model_test.go
+++ b/reconcile/model_test.go
@@ -144,6 +144,10 @@
 		}
 		commands = append(m.applyTasks(worker, seq), m.startCommands(worker, seq)...)
 	}
+	if disposition == QueryTasks {
+		worker.pendingCommands = append(worker.pendingCommands, m.taskQuery(worker, sentAt))
+		return
+	}
 	if responseLost {
 		return
 	}
@@ -161,6 +165,23 @@
 	})
 }
 
+// taskQuery returns the execution of a task query for which a heartbeat sent at sentAt waits. Its response reconciles
+// the machine, and the heartbeat's response renews the lease.
+func (m *model) taskQuery(worker *modelWorker, sentAt int64) func() {
+	fencingToken, incarnation := m.fencingToken, worker.incarnation
+	return func() {
+		if fencingToken < worker.token || incarnation != worker.incarnation {
+			return
+		}
+		worker.token = fencingToken
+		if fencingToken != m.fencingToken {
+			return // the claim has ended
+		}
+		m.sendHeartbeat(worker, true, m.claim.ReceiveQueryResponse)
+		worker.lastResponseAt = max(worker.lastResponseAt, sentAt)
+	}
+}
+
 // applyTasks applies the tasks that a heartbeat reports and returns the resulting commands.
 func (m *model) applyTasks(worker *modelWorker, seq uint64) (commands []func()) {
 	shown := map[attemptKey]bool{}
--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -24,7 +24,9 @@
 //	any                      heartbeat not newer than the last         same         Stale: renews no lease
 //	LeaseExpired             heartbeat of an ended incarnation         same         Stale: sent before the expiry
 //	any                      heartbeat superseded by a query response  same         RenewOnly
-//	any                      heartbeat with an older token             Notified (1) NotifyToken
+//	any                      heartbeat with an older token             Notified (1) QueryTasks (5)
+//	any                      the same, from a worker without a token   Notified (1) NotifyToken
+//	any                      the same, a lease after the claim         Notified (1) NotifyToken
 //	NoHeartbeat, Notified    the same, after every earlier lease       same         NotifyToken (2)
 //	any                      heartbeat with the claim's token          Reconciled   Accept
 //	Reconciled, LeaseExpired the same, of a later incarnation          Reconciled   AcceptNewIncarnation
@@ -34,7 +36,16 @@
 //
 // (1) From NoHeartbeat only. (2) All tasks of earlier claims on the machine have ended. (3) All tasks on
 // the machine have ended. (4) Except when so many machines are missing that the network is the likely
-// cause, or when the machine's ledger entry lists its tasks.
+// cause, or when the machine's ledger entry lists its tasks. (5) The heartbeat gets no response before
+// the worker has answered a task query.
+//
+// A response with the claim's token renews the worker's lease, also for tasks that must stop. Two kinds
+// of tasks may run when an older token is reported: those in the heartbeat, and those that a delayed
+// direct command of an earlier claim starts before the response arrives. The query carries the stops of
+// the former. It raises the worker's token, so that no earlier command starts anything later, and its
+// response lists all tasks. Only then is the lease renewed. One lease after the claim, every
+// incarnation that earlier claims could address has ended, and no query is needed. A worker without a
+// token has never been sent a direct command.
 //
 // A machine that is listed as up and is neither Reconciled nor LeaseExpired is unreported. It may run
 // tasks of earlier claims: as many as fit on it, or those that its ledger entry lists.
@@ -165,6 +176,9 @@
 	// earlier heartbeat, it would appear expired while tasks still run.
 	m.LastHeartbeatAt = now
 	disposition := c.classify(m, now, incarnation, seq, token)
+	if disposition == NotifyToken && token != 0 && now <= c.claimedAt+c.maxLeaseMS() {
+		return QueryTasks
+	}
 	if disposition == NotifyToken && !m.earlierTasksExpired && now > c.claimedAt+c.maxLeaseMS()+responseTTLMS {
 		// The inbound direction is partitioned. A worker that had accepted a response since the
 		// claim would have the claim's token. So every incarnation that earlier owners knew ended
@@ -228,8 +242,15 @@
 	return c.settings.LeaseMS + driftMS + c.settings.LeaseSlackMS
 }
 
+// StartTaskQuery records that the owner queries a worker because of its heartbeat. The query is not
+// delayed: the heartbeat waits for it.
+func (c *Claim) StartTaskQuery(m *Machine, now int64) {
+	c.Pacer.Reserve(now, 1)
+	m.lastQueryAt = now
+}
+
 // TryStartTaskQuery reports whether the owner queries a worker for its tasks now, because the worker
-// was sent the claim's token a while ago and has sent no heartbeat with it. A worker that received
+// was sent the claim's token, or queried, a while ago and has sent no heartbeat with it. A worker that received
 // several tokens in a short time does not send a heartbeat immediately for the last one.
 func (c *Claim) TryStartTaskQuery(m *Machine, now int64) bool {
 	if m.state != Notified || !m.Up || now-m.lastQueryAt < c.settings.MaxHeartbeatIntervalMS/queryDelayDivisor {
--- a/reconcile/verdicts.go
+++ b/reconcile/verdicts.go
@@ -18,6 +18,10 @@
 	return [...]string{"Unassigned", "Assigned", "Transferring", "Completed", "ResultStored", "Obsolete"}[s]
 }
 
+// IsFinal reports whether the task never needs another attempt, so that each of its attempts must end,
+// however old the heartbeat is that reports it.
+func (s TaskState) IsFinal() bool { return s == Completed || s == ResultStored || s == Obsolete }
+
 // Observation is the state of an attempt that a heartbeat reports.
 type Observation int
 
--- a/scheduler/cluster_view.go
+++ b/scheduler/cluster_view.go
@@ -87,7 +87,7 @@
 // addOrphansToView adds a slot for what the orphaned tasks of a machine may use. It is expected to be free once they
 // are stopped.
 func (pp *placementPlanner) addOrphansToView(viewMachine *planner.Machine, mc *machine) {
-	if mc.orphanedTasks == 0 {
+	if len(mc.orphans) == 0 {
 		return
 	}
 	unused := nonNegative(viewMachine.Free)
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -76,6 +76,9 @@
 	machine *machine
 	token   uint64
 	started []*attempt // attempts that the command starts; empty for stops or a query
+
+	isAwaited bool   // the response to a heartbeat waits for the answer
+	replyID   uint64 // of that heartbeat
 }
 
 // queryUnreportedMachines queries the tasks of workers that were sent our fencing token and would
@@ -84,7 +87,7 @@
 func (am *agentManager) queryUnreportedMachines(s *shard) {
 	for _, unreported := range s.reconciler.Unreported() {
 		mc := am.registry.machines[unreported.ID]
-		if mc == nil || mc.Machine != unreported || mc.directCommandPending || mc.addr == "" {
+		if mc == nil || mc.Machine != unreported || mc.pendingCommand != nil || mc.addr == "" {
 			continue
 		}
 		if !s.reconciler.TryStartTaskQuery(unreported, am.now.MonotonicMS) {
@@ -99,8 +102,8 @@
 // unless it is still in the given incarnation. started lists the attempts that the commands start.
 func (am *agentManager) sendDirectCommand(s *shard, mc *machine, incarnation uint64, started []*attempt) {
 	am.lastRequestID++
-	mc.directCommandPending = true
-	am.directCommands[am.lastRequestID] = &pendingDirectCommand{s, mc, s.token, started}
+	mc.pendingCommand = &pendingDirectCommand{shard: s, machine: mc, token: s.token, started: started}
+	am.directCommands[am.lastRequestID] = mc.pendingCommand
 	if am.isDebugLogged() {
 		am.log(Debug, "direct command", "machine", mc.id, "shard", s.name, "token", s.token,
 			"incarnation", incarnation, "request", am.lastRequestID, "commands", commandNames(mc.commands))
@@ -123,13 +126,16 @@
 		return
 	}
 	delete(c.agents.directCommands, id)
-	command.machine.directCommandPending = false
+	if command.machine.pendingCommand == command {
+		command.machine.pendingCommand = nil
+	}
 	c.agents.countDirectCommandResult(r.Outcome)
 	if c.isDebugLogged() {
 		c.log(Debug, "direct command answered", "machine", command.machine.id, "token", command.token,
 			"request", id, "outcome", r.Outcome.String())
 	}
 	c.agents.applyDirectCommandResult(command, r)
+	c.agents.answerWaitingHeartbeat(command)
 }
 
 func (am *agentManager) countDirectCommandResult(outcome Outcome) {
@@ -258,7 +264,7 @@
 // must have sent a heartbeat within the longest heartbeat interval. A start sent to an unresponsive
 // worker would only add another unknown outcome.
 func (am *agentManager) acceptsDirectCommand(mc *machine) bool {
-	if mc.directCommandPending || mc.directCommandRefused {
+	if mc.pendingCommand != nil || mc.directCommandRefused {
 		return false
 	}
 	missedHeartbeat := am.now.MonotonicMS-mc.LastHeartbeatAt > am.maxHeartbeatIntervalMS()
--- a/scheduler/heartbeats.go
+++ b/scheduler/heartbeats.go
@@ -14,8 +14,9 @@
 //
 //	HandleHeartbeat             the input
 //	processHeartbeat            finds the machine and its shard, or the shard's owner
-//	answerHeartbeat             performs the steps below and returns the response
+//	answerHeartbeat             performs the steps below and responds
 //	  receiveHeartbeat          package reconcile: is it newer than what is known, and under our token?
+//	  queryBeforeRenewal        lease_renewal.go: the first heartbeat after a claim waits for a task query
 //	  reconcileMachine          the machine's incarnation, termination notice and attempts
 //	    applyTaskStatus         task_status.go: each task in the heartbeat
 //	  startTasks                task_starts.go: starts that use the free resources
@@ -71,7 +72,7 @@
 		am.respondWorker(replyID, am.redirectTo(am.cache.shardClaims[mc.rec.Shard].Owner))
 		return
 	}
-	am.respondWorker(replyID, am.answerHeartbeat(s, mc, &hb))
+	am.answerHeartbeat(replyID, s, mc, &hb)
 }
 
 func (am *agentManager) respondWorker(replyID uint64, response HeartbeatResponse) {
@@ -90,34 +91,38 @@
 	return HeartbeatResponse{RedirectTo: memberID}
 }
 
-// answerHeartbeat processes a heartbeat of a machine in an owned shard and returns the response.
-func (am *agentManager) answerHeartbeat(s *shard, mc *machine, hb *Heartbeat) HeartbeatResponse {
+// answerHeartbeat processes a heartbeat of a machine in an owned shard. The response follows at once, or after a task
+// query.
+func (am *agentManager) answerHeartbeat(replyID uint64, s *shard, mc *machine, hb *Heartbeat) {
 	if !am.mayRenewLease(s, hb.Token) {
-		return HeartbeatResponse{}
+		am.respondWorker(replyID, HeartbeatResponse{})
+		return
 	}
 	if mc.claim != s {
 		am.registry.resetMachine(mc)
 	}
 	mc.addr = hb.Addr
 	disposition := am.receiveHeartbeat(s, mc, hb)
-	if disposition == reconcile.Stale {
+	switch disposition {
+	case reconcile.Stale:
 		am.Counters.StaleHeartbeats++
-		return HeartbeatResponse{}
-	}
-	if disposition < reconcile.Accept {
-		return HeartbeatResponse{Accepted: true, Token: s.token}
+		am.respondWorker(replyID, HeartbeatResponse{})
+	case reconcile.QueryTasks:
+		am.queryBeforeRenewal(replyID, s, mc, hb)
+	case reconcile.NotifyToken:
+		am.respondWorker(replyID, HeartbeatResponse{Accepted: true, Token: s.token})
+	case reconcile.RenewOnly:
+		am.respondWorker(replyID, am.renewalResponse(s, mc))
+	default:
+		am.reconcileMachine(s, mc, hb, disposition)
+		am.respondWorker(replyID, am.commandResponse(s, mc, hb))
 	}
-	am.reconcileMachine(s, mc, hb, disposition)
-	am.startTasks(s, mc, hb)
-	return HeartbeatResponse{Accepted: true, Token: s.token, Commands: am.takeCommands(s, mc)}
 }
 
-// mayRenewLease reports whether a worker with the given fencing token may receive a response, which
-// renews its lease. Until the shard is ready, its progress is not read and no task can be stopped.
-// When workers received responses in that state and an outage followed, a cancelled task ran for
-// longer than allowed.
-func (am *agentManager) mayRenewLease(s *shard, token uint64) bool {
-	return am.store.hasAuthority() && !s.releasing && token <= s.token && s.ready
+// commandResponse returns the response to an accepted heartbeat, with starts that use the machine's free resources.
+func (am *agentManager) commandResponse(s *shard, mc *machine, hb *Heartbeat) HeartbeatResponse {
+	am.startTasks(s, mc, hb)
+	return HeartbeatResponse{Accepted: true, Token: s.token, Commands: am.takeCommands(s, mc)}
 }
 
 // receiveHeartbeat passes a heartbeat to the claim's reconciler and returns its disposition. It
@@ -173,7 +178,7 @@
 		}
 	}
 	am.log(Debug, "machine reconciled", "machine", mc.id, "shard", s.name, "token", s.token,
-		"tasks", mc.reportedTasks, "adopted", len(mc.byKey), "stopped", mc.orphanedTasks, "cleared", clears)
+		"tasks", mc.reportedTasks, "adopted", len(mc.byKey), "stopped", len(mc.orphans), "cleared", clears)
 }
 
 // updateTerminationNotice records when the cloud provider will terminate the machine, according to
--- /dev/null
+++ b/scheduler/lease_renewal_test.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"slices"
+	"testing"
+)
+
+// stopsIn returns the tasks that commands stop without a grace period.
+func stopsIn(commands []Command) (tasks []string) {
+	for _, c := range commands {
+		if c.Kind == CommandStop && c.GraceS == 0 {
+			tasks = append(tasks, c.Task)
+		}
+	}
+	return tasks
+}
+
+// Guards against ran_cancelled: the first heartbeat after a claim is answered, and its worker's lease renewed, before
+// the tasks of cancelled jobs on the machine are stopped and known.
+func TestFirstHeartbeatAfterClaimWaitsForTaskQuery(t *testing.T) {
+	reported := testHeartbeat("i-2", 1, 5, unknownTasks(taskRunning)[1:]...)
+	listed := testHeartbeat("i-2", 2, 11, append(unknownTasks(taskRunning)[1:],
+		TaskStatus{Task: "job-000078/0", Attempt: 6, State: taskRunning})...) // started by a delayed direct command
+	for _, c := range []struct {
+		name     string
+		result   DirectCommandResult
+		accepted bool
+		stops    []string
+	}{
+		{"query is executed", DirectCommandResult{Outcome: OK, Heartbeat: &listed}, true,
+			[]string{"job-000077/0", "job-000077/1", "job-000078/0"}},
+		{"query has no response", DirectCommandResult{Outcome: Unknown}, false, nil},
+		{"query is refused", DirectCommandResult{Outcome: Conflict, Heartbeat: &reported}, false, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctrl, _, _ := newControllerWithShard(t)
+			addUnreportedMachine(ctrl, false)
+			ctrl.HandleHeartbeat(ctrl.now, 5, reported)
+			outputs := ctrl.TakeOutputs()
+			if len(outputs.HeartbeatResponses) != 0 || len(outputs.DirectCommands) != 1 {
+				t.Fatalf("got responses %+v and direct commands %+v, want a query only",
+					outputs.HeartbeatResponses, outputs.DirectCommands)
+			}
+			query := outputs.DirectCommands[0]
+			if got := stopsIn(query.Commands); !slices.Equal(got, []string{"job-000077/0", "job-000077/1"}) {
+				t.Errorf("the query stops %v, want the reported tasks of the cancelled job", got)
+			}
+			ctrl.HandleDirectCommandResult(ctrl.now, query.ID, c.result)
+			response, responded := ctrl.TakeOutputs().HeartbeatResponses[5]
+			if !responded || response.Accepted != c.accepted || !slices.Equal(stopsIn(response.Commands), c.stops) {
+				t.Errorf("got response %+v (sent: %v), want accepted %v with stops of %v",
+					response, responded, c.accepted, c.stops)
+			}
+		})
+	}
+}
+
+// The worker waits only for the response to its newest heartbeat. That one gets the response to the query.
+func TestNewerHeartbeatReplacesTheOneThatWaitsForTaskQuery(t *testing.T) {
+	ctrl, s, _ := newControllerWithShard(t)
+	mc := addUnreportedMachine(ctrl, false)
+	ctrl.HandleHeartbeat(ctrl.now, 5, testHeartbeat("i-2", 1, 5))
+	ctrl.HandleHeartbeat(ctrl.now, 6, testHeartbeat("i-2", 2, 5))
+	outputs := ctrl.TakeOutputs()
+	if response, responded := outputs.HeartbeatResponses[5]; !responded || response.Accepted {
+		t.Errorf("got response %+v (sent: %v) to the older heartbeat, want a refusal", response, responded)
+	}
+	if _, responded := outputs.HeartbeatResponses[6]; responded || len(outputs.DirectCommands) != 1 {
+		t.Fatalf("got %d direct commands, newer heartbeat answered: %v; want one query",
+			len(outputs.DirectCommands), responded)
+	}
+	answerTaskQuery(ctrl, mc, nil)
+	if response := ctrl.TakeOutputs().HeartbeatResponses[6]; !response.Accepted || response.Token != s.token {
+		t.Errorf("got response %+v to the newer heartbeat, want accepted with the claim's token", response)
+	}
+}
+
+// A heartbeat waits for a query while the claim ends. It is refused, since this member must not renew the lease.
+func TestHeartbeatThatWaitsForTaskQueryIsRefusedAfterClaimHasEnded(t *testing.T) {
+	ctrl, s, _ := newControllerWithShard(t)
+	addUnreportedMachine(ctrl, false)
+	ctrl.HandleHeartbeat(ctrl.now, 5, testHeartbeat("i-2", 1, 5))
+	query := ctrl.TakeOutputs().DirectCommands[0]
+	ctrl.shards.dropShard(s)
+	listed := testHeartbeat("i-2", 2, 11)
+	ctrl.HandleDirectCommandResult(ctrl.now, query.ID, DirectCommandResult{Outcome: OK, Heartbeat: &listed})
+	if response, responded := ctrl.TakeOutputs().HeartbeatResponses[5]; !responded || response.Accepted {
+		t.Errorf("got response %+v (sent: %v), want a refusal", response, responded)
+	}
+}
--- a/scheduler/machine.go
+++ b/scheduler/machine.go
@@ -48,7 +48,7 @@
 	byKey            []*attempt             // the attempts sorted by key
 	liveAttemptCount int                    // attempts that have not exited
 	usage            availability.Resources // resources of the live attempts
-	orphanedTasks    int                    // attempts on it that this claim did not adopt and that still have to stop
+	orphans          []attemptKey           // attempts on it that this claim did not adopt and that still have to stop
 	reportedUsage    availability.Resources // usage of the live attempts in the last report
 	reportedTasks    int                    // attempts in the last report, including exited ones
 	imageCache       *planner.ImageCache    // nil: this member does not own the machine's shard
@@ -95,9 +95,9 @@
 type machineDispatch struct {
 	plannedStarts        []plannedStart
 	reservation          *reservation
-	commands             []Command // pending for the next heartbeat response or direct command
-	directCommandRefused bool      // a direct command was refused: none is sent until the next heartbeat
-	directCommandPending bool      // a direct command is unanswered
+	commands             []Command             // pending for the next heartbeat response or direct command
+	directCommandRefused bool                  // a direct command was refused: none is sent until the next heartbeat
+	pendingCommand       *pendingDirectCommand // the direct command that is unanswered; nil: none
 }
 
 // plannedStart is a number of tasks of one range that the plan starts on a machine now.
--- /dev/null
+++ b/scheduler/new_owner_cancellation_test.go
@@ -0,0 +1,272 @@
+package scheduler_test
+
+import (
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/grebedock/grebedock/emulator"
+	"github.com/grebedock/grebedock/internal/platformfake"
+	"github.com/grebedock/grebedock/scheduler"
+)
+
+// These tests cover the first messages of a new owner to workers that run tasks of cancelled jobs. The state service
+// refuses the owner of a shard alone, a peer confirms cancellations, and another member adopts the shard once the
+// owner's lease has ended. A machine loses the network with the first message under the new token, at the latest
+// moment at which its lease may have been renewed. The tasks must nevertheless end within cancel_s (docs/design.md,
+// "The bound on cancelled tasks").
+
+// newOwnerSeeds is the number of seeds of each scenario. A run by hand can play more.
+var newOwnerSeeds = flag.Uint64("new-owner-seeds", 64, "number of seeds with cancellations before a new owner")
+
+// Times of the scenario in milliseconds.
+const (
+	ownerRefusedAtMS   = 40_000
+	ownerRefusedForMS  = 60_000
+	newOwnerScenarioMS = ownerRefusedAtMS + 40_000
+	heldStartsFromMS   = ownerRefusedAtMS - 1000 // direct starts sent from then on are delayed
+)
+
+// newOwnerRun is one run of the scenario.
+type newOwnerRun struct {
+	*testSimulation
+	owner      *emulator.Member // refused by the state service
+	newOwner   *emulator.Member // adopted its shard; nil: none yet
+	scenario   newOwnerScenario
+	knowsOwner map[*emulator.Worker]bool // has received a message of the new owner
+	isCut      map[*emulator.Worker]bool
+	heldStarts map[string][]scheduler.DirectCommand // direct starts of the refused owner, by machine
+
+	exposed    int   // machines that had tasks of cancelled jobs when the first message of a new owner came
+	lateStarts int   // tasks of cancelled jobs that a delayed start began while the first heartbeat was in flight
+	longestMS  int64 // longest time that a task was on a machine after the confirmation
+}
+
+// newOwnerScenario is what differs between the scenarios.
+type newOwnerScenario struct {
+	capacityPerOffering int
+	cutsAtRenewal       bool // machines lose the network with the first renewal of their lease, not the first message
+	holdStarts          bool // direct starts of the refused owner arrive after the first heartbeat to the new owner
+	taskRunMS           func(*emulator.Simulation, *emulator.Job, string) int64
+}
+
+var newOwnerScenarios = map[string]newOwnerScenario{
+	"cut at the first message": {capacityPerOffering: 6, taskRunMS: taskRunsFor(70_000, 60_000)},
+	"cut at the first renewal": {capacityPerOffering: 6, cutsAtRenewal: true, taskRunMS: taskRunsFor(70_000, 60_000)},
+	"starts while the first heartbeat is in flight": {
+		capacityPerOffering: 2,
+		holdStarts:          true,
+		taskRunMS: func(sim *emulator.Simulation, j *emulator.Job, _ string) int64 {
+			if j.Spec.Class == "batch" {
+				return 20_000 // so that machines are idle when the urgent jobs come
+			}
+			return 70_000
+		},
+	},
+}
+
+// runNewOwner plays a scenario with one seed.
+func runNewOwner(seed uint64, scenario newOwnerScenario) *newOwnerRun {
+	params := newParams(10_000)
+	params.Teams = map[string]scheduler.Team{"t0": {}}
+	run := &newOwnerRun{
+		scenario:   scenario,
+		knowsOwner: map[*emulator.Worker]bool{},
+		isCut:      map[*emulator.Worker]bool{},
+		heldStarts: map[string][]scheduler.DirectCommand{},
+	}
+	options := emulator.Options{
+		Seed:                9000 + seed,
+		Members:             3,
+		Types:               simTypes,
+		CapacityPerOffering: scenario.capacityPerOffering,
+		Params:              params,
+		TaskRunMS:           scenario.taskRunMS,
+	}
+	options.InjectedFault.Heartbeat = func(hb *scheduler.Heartbeat) { run.deliverHeldStarts(hb) }
+	run.testSimulation = &testSimulation{Simulation: emulator.New(options), noRandomFaults: true}
+	run.TraceEnabled = *traceSeed == int(seed)
+	for n := range 14 {
+		run.After(500+run.Rand.Int64N(8000), func() { run.Submit(emulator.NewJob(newLongJob(n, 1+run.Rand.IntN(10)))) })
+		if scenario.holdStarts {
+			run.After(heldStartsFromMS+run.Rand.Int64N(700), func() { run.submitUrgentJob(14 + n) })
+		}
+	}
+	run.After(ownerRefusedAtMS-1500, func() { run.owner = run.memberWithMostTasks() })
+	run.After(ownerRefusedAtMS, func() { run.StartOutage(run.owner.Name, ownerRefusedForMS) })
+	for n := range 28 {
+		run.After(ownerRefusedAtMS+run.Rand.Int64N(100), func() { run.cancelThroughPeer(fmt.Sprintf("job-%06d", n)) })
+	}
+	run.OnWorkerMessage = run.observeMessage
+	if scenario.holdStarts {
+		run.Observer = run.observe
+	}
+	run.Run(newOwnerScenarioMS, func() bool { return false })
+	return run
+}
+
+// submitUrgentJob submits a job whose tasks are started by direct commands.
+func (run *newOwnerRun) submitUrgentJob(n int) {
+	j := newLongJob(n, 1+run.Rand.IntN(3))
+	j.Class, j.EstimateS, j.Priority = "quick", 6, scheduler.High
+	run.Submit(emulator.NewJob(j))
+}
+
+// cancelThroughPeer cancels a job through a random peer of the refused owner.
+func (run *newOwnerRun) cancelThroughPeer(id string) {
+	j := run.Jobs[id]
+	peer := run.randomMember()
+	for peer == run.owner {
+		peer = run.randomMember()
+	}
+	if j == nil || !j.Accepted {
+		return
+	}
+	j.CancelRequested = true
+	requestedAt := run.Now
+	peer.SendRequestDirect(scheduler.UserRequest{Kind: scheduler.CancelJob, ID: id}, func(resp scheduler.UserResponse) {
+		run.ReceiveResponse(j, requestedAt, resp)
+	})
+}
+
+// observeMessage cuts a machine with the first message under a new token, or with the first renewal of its lease.
+func (run *newOwnerRun) observeMessage(worker *emulator.Worker, token uint64, renewsLease bool) {
+	if run.Now < ownerRefusedAtMS || run.isCut[worker] {
+		return
+	}
+	if token > worker.Agent.FencingToken() {
+		run.knowsOwner[worker] = true
+		if len(run.cancelledTasks(worker)) > 0 {
+			run.exposed++
+			run.measureCancelledTasks(worker)
+		}
+	}
+	if run.knowsOwner[worker] && (renewsLease || !run.scenario.cutsAtRenewal) {
+		run.cutMachine(worker)
+	}
+}
+
+// cutMachine disconnects a machine from all members. What has reached it is still executed.
+func (run *newOwnerRun) cutMachine(worker *emulator.Worker) {
+	run.isCut[worker] = true
+	run.partition(emulator.Partition{A: worker.Endpoint(), Until: run.Now + ownerRefusedForMS, DropsMessages: true})
+}
+
+// cancelledTasks returns the tasks on a machine whose jobs' cancellation was confirmed.
+func (run *newOwnerRun) cancelledTasks(worker *emulator.Worker) (tasks []*platformfake.Task) {
+	run.EachTaskOn(worker, func(t *platformfake.Task) {
+		if run.Jobs[t.Job.ID].CancelConfirmedAt > 0 {
+			tasks = append(tasks, t)
+		}
+	})
+	return tasks
+}
+
+// measureCancelledTasks measures in steps of 50 ms how long cancelled tasks remain on a machine.
+func (run *newOwnerRun) measureCancelledTasks(worker *emulator.Worker) {
+	tasks := run.cancelledTasks(worker)
+	for _, t := range tasks {
+		run.longestMS = max(run.longestMS, run.Now-run.Jobs[t.Job.ID].CancelConfirmedAt)
+	}
+	if len(tasks) > 0 {
+		run.After(50, func() { run.measureCancelledTasks(worker) })
+	}
+}
+
+// observe finds the new owner, and takes the direct starts of the refused owner off the network.
+func (run *newOwnerRun) observe(m *emulator.Member, outputs *scheduler.Outputs) {
+	if run.Now < heldStartsFromMS {
+		return
+	}
+	if m == run.owner {
+		run.holdStarts(outputs)
+		return
+	}
+	for _, line := range outputs.Logs {
+		if line.Message == "shard claimed" && line.Args[1] == run.owner.Name {
+			run.newOwner = m
+		}
+	}
+}
+
+func (run *newOwnerRun) holdStarts(outputs *scheduler.Outputs) {
+	var others []scheduler.DirectCommand
+	for _, command := range outputs.DirectCommands {
+		if len(command.Commands) == 0 {
+			others = append(others, command)
+			continue
+		}
+		run.heldStarts[command.Machine] = append(run.heldStarts[command.Machine], command)
+	}
+	outputs.DirectCommands = others
+}
+
+// deliverHeldStarts delivers the held direct starts to a machine that has just sent a heartbeat to a new owner.
+func (run *newOwnerRun) deliverHeldStarts(hb *scheduler.Heartbeat) {
+	worker := run.Workers[hb.Machine]
+	if run.newOwner == nil || worker.MemberName(run.Simulation) != run.newOwner.Name {
+		return
+	}
+	held := run.heldStarts[hb.Machine]
+	delete(run.heldStarts, hb.Machine)
+	run.After(1, func() {
+		for _, command := range held {
+			before := len(run.cancelledTasks(worker))
+			worker.Agent.ApplyDirectCommand(worker.Clock(run.Simulation), command)
+			run.lateStarts += max(0, len(run.cancelledTasks(worker))-before)
+		}
+	})
+}
+
+// newOwnerTotals adds up the runs of a scenario.
+type newOwnerTotals struct {
+	sync.Mutex
+	played, exposed, lateStarts int
+	longestMS                   int64
+}
+
+func (totals *newOwnerTotals) add(run *newOwnerRun) {
+	totals.Lock()
+	defer totals.Unlock()
+	totals.played++
+	totals.exposed += run.exposed
+	totals.lateStarts += run.lateStarts
+	totals.longestMS = max(totals.longestMS, run.longestMS)
+}
+
+// check checks that the scenario occurs at least once for each seed, if all seeds were played.
+func (totals *newOwnerTotals) check(t *testing.T, scenario newOwnerScenario) {
+	t.Helper()
+	t.Logf("%d seeds: %d machines had cancelled tasks at a new owner's first message, %d late starts",
+		totals.played, totals.exposed, totals.lateStarts)
+	t.Logf("their tasks were gone after %d ms at most", totals.longestMS)
+	if uint64(totals.played) < *newOwnerSeeds {
+		return
+	}
+	if totals.exposed < totals.played || scenario.holdStarts && totals.lateStarts < totals.played {
+		t.Errorf("got %d machines and %d late starts, want at least one for each of %d seeds",
+			totals.exposed, totals.lateStarts, totals.played)
+	}
+}
+
+// Guards against ran_cancelled: the first message of a new owner renews the lease of a worker on which tasks of a
+// cancelled job run or are about to start.
+func TestFirstMessageOfNewOwnerExtendsNoCancelledTask(t *testing.T) {
+	for name, scenario := range newOwnerScenarios {
+		t.Run(name, func(t *testing.T) {
+			var totals newOwnerTotals
+			t.Cleanup(func() { totals.check(t, scenario) })
+			for seed := range *newOwnerSeeds {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					run := runNewOwner(seed, scenario)
+					for rule, violation := range run.Violations {
+						t.Errorf("%s: %s", rule, violation)
+					}
+					totals.add(run)
+				})
+			}
+		})
+	}
+}
--- a/scheduler/orphaned_tasks.go
+++ b/scheduler/orphaned_tasks.go
@@ -11,37 +11,38 @@
 // recordOrphans counts the orphaned tasks in a complete list of a machine's tasks, and the usage of the attempts in it.
 // The shard is planned again if the number of orphaned tasks has changed.
 func (s *shard) recordOrphans(mc *machine, tasks []TaskStatus) {
-	before := mc.orphanedTasks
+	before := len(mc.orphans)
 	s.resetOrphans(mc)
 	for _, status := range tasks {
 		if status.State == taskExited {
 			continue
 		}
-		if a := mc.attempts[attemptKey{status.Task, status.Attempt}]; a == nil {
-			mc.orphanedTasks++
+		key := attemptKey{status.Task, status.Attempt}
+		if a := mc.attempts[key]; a == nil {
+			mc.orphans = append(mc.orphans, key)
 		} else if !a.exited {
 			mc.reportedUsage = mc.reportedUsage.Add(a.job.Request)
 		}
 	}
-	if mc.orphanedTasks > 0 {
+	if len(mc.orphans) > 0 {
 		s.machinesWithOrphans++
 	}
-	if mc.orphanedTasks != before {
+	if len(mc.orphans) != before {
 		s.dirty = true
 	}
 }
 
 // resetOrphans removes a machine's orphaned tasks from the counts.
 func (s *shard) resetOrphans(mc *machine) {
-	if mc.orphanedTasks > 0 {
+	if len(mc.orphans) > 0 {
 		s.machinesWithOrphans--
 	}
-	mc.orphanedTasks, mc.reportedUsage = 0, availability.Resources{}
+	mc.orphans, mc.reportedUsage = nil, availability.Resources{}
 }
 
 // maxOrphanedUsage returns an upper bound on the resources that the orphaned tasks of a machine use.
 func (am *agentManager) maxOrphanedUsage(mc *machine) availability.Resources {
-	if mc.orphanedTasks == 0 {
+	if len(mc.orphans) == 0 {
 		return availability.Resources{}
 	}
 	return am.cache.machineCapacity(mc).Sub(mc.reportedUsage)
--- a/scheduler/recovery_record.go
+++ b/scheduler/recovery_record.go
@@ -120,7 +120,7 @@
 		return
 	}
 	for _, mc := range unreachable {
-		if mc.orphanedTasks == 0 || !mc.IsReconciled() {
+		if len(mc.orphans) == 0 || !mc.IsReconciled() {
 			s.reconciler.Ledger.Put(mc.id, mc.unreachableEntry(), am.params.MaxValueBytes/unreachableValueDivisor)
 		}
 	}
