Each answer that renews a lease stops the attempts of ended jobs

Cause: a report that the answer to a direct command has overtaken is answered with 200 and no command, since its content is outdated. The attempts that the newer list shows were stopped only with the next report. Likewise no answer stopped an attempt whose direct start was in transit, though it may be carried out before the answer arrives.

A stop of an attempt that the worker does not hold has no effect.

TestOvertakenHeartbeatStopsTasksOfCancelledJob fails without the fix: the response stops the task without a job alone.

--- a/scheduler/heartbeats.go
+++ b/scheduler/heartbeats.go
@@ -215,6 +215,7 @@
 	}
 	s.recordOrphans(mc, hb.Tasks)
 	am.removeUnreportedAttempts(mc, hb, reported)
+	am.stopUnreportedAttempts(s, mc, reported)
 }
 
 // findAttempt returns the attempt of a reported task, or adopts it. It returns nil if this claim does not own it.
--- a/scheduler/lease_renewal.go
+++ b/scheduler/lease_renewal.go
@@ -75,9 +75,20 @@
 	for _, orphan := range mc.orphans {
 		am.queueStop(s, mc, orphan)
 	}
+	am.stopUnreportedAttempts(s, mc, nil)
 	return HeartbeatResponse{Accepted: true, Token: s.token, Commands: am.takeCommands(s, mc)}
 }
 
+// stopUnreportedAttempts queues stops of the machine's attempts whose jobs have ended, except for reported ones. Such
+// an attempt may be on the machine although no report lists it: its start was in transit.
+func (am *agentManager) stopUnreportedAttempts(s *shard, mc *machine, reported map[attemptKey]bool) {
+	for _, a := range mc.byKey {
+		if !a.exited && !reported[a.key] && am.cache.hasEnded(a.taskRange.job) {
+			am.queueStop(s, mc, a.key)
+		}
+	}
+}
+
 func (am *agentManager) queueStop(s *shard, mc *machine, key attemptKey) {
 	am.queueCommand(s, mc, Command{Kind: CommandStop, Task: key.task, Attempt: key.attempt})
 }
--- a/scheduler/lease_renewal_test.go
+++ b/scheduler/lease_renewal_test.go
@@ -88,3 +88,19 @@
 		t.Errorf("got response %+v (sent: %v), want a refusal", response, responded)
 	}
 }
+
+// Guards against ran_cancelled: a heartbeat that the response to a direct command has overtaken renews the lease, and
+// an attempt of a cancelled job that it does not list yet runs on.
+func TestOvertakenHeartbeatStopsTasksOfCancelledJob(t *testing.T) {
+	sc := newDirectStartScenario(t)
+	orphan := TaskStatus{Task: "job-000077/0", Attempt: 4, State: taskRunning}
+	sc.ctrl.agents.sendDirectCommand(sc.s, sc.mc, 1, nil)
+	listed := testHeartbeat("i-1", 12, firstToken, sc.status(taskRunning, ""), orphan)
+	sc.ctrl.HandleDirectCommandResult(sc.ctrl.now, sc.ctrl.lastRequestID, DirectCommandResult{Outcome: OK, Heartbeat: &listed})
+	sc.ctrl.cache.applyChange(KeyValue{Key: jobKey("job-000001"), Rev: 40})
+	sc.seq = 10
+	response := sc.report(firstToken)
+	if got, want := stopsIn(response.Commands), []string{"job-000077/0", sc.a.key.task}; !slices.Equal(got, want) {
+		t.Errorf("the response stops %v, want %v", got, want)
+	}
+}
