An unanswered start of an ended job limits renewals of the lease

Cause: a direct start has no answer, its job is cancelled, and the owner learns it. The worker carries out the start as long as token and session hold. The owner went on renewing the lease under the same token for as long as it had authority, also when the state service did not let it raise the token: refused writes, lost answers. Nothing counted from the cancellation bounded that.

Fix: such a machine's lease is renewed for the authority's time after the job's end, as a member would that does not know of it (mayStartEndedTask), and again once the token is raised. The end is counted from the sending of the refresh before the one that brought it, so never too late. The stop of the start in transit is in every answer until then.

TestUnansweredStartOfCancelledJobEndsRenewals fails without the fix: the report after the time limit is accepted. access.LeaseTTLMS lists every response that renews a lease, with what bounds it.

--- a/access/access.go
+++ b/access/access.go
@@ -114,7 +114,11 @@
 //	a member that does not know of the cancellation:
 //	  its last proof was sent before the confirmation             at most 0
 //	  its authority lasts                                         + TTL, less drift and slack
-//	a member that knows of it: the response stops the task; 0
+//	a member that knows of it, while a direct start of the task under its token has no response:
+//	  the refresh before the one that brought the cancellation
+//	  was sent before the confirmation                            at most 0
+//	  it renews the lease for as long as its authority would last + TTL, less drift and slack
+//	a member that knows of it, otherwise: the response stops the task; 0
 //	a new owner, to a worker with an earlier owner's token: it responds after a task query, and knows all
 //	  tasks; as above
 //
--- a/access/lease_keeper.go
+++ b/access/lease_keeper.go
@@ -81,8 +81,13 @@
 		return false
 	}
 	provenAt := min(k.lease.renewalSentAt, k.cache.refreshSentAt)
+	return now < provenAt+k.AuthorityMS()
+}
+
+// AuthorityMS returns how long authority lasts after the sending of the older proof.
+func (k *LeaseKeeper) AuthorityMS() int64 {
 	driftMS := int64(float64(k.settings.LeaseTTLMS) * k.settings.MaxClockDrift)
-	return now < provenAt+k.settings.LeaseTTLMS-driftMS-k.settings.AuthoritySlackMS
+	return k.settings.LeaseTTLMS - driftMS - k.settings.AuthoritySlackMS
 }
 
 // SetState sets a lease that a request sent at renewalSentAt granted or renewed (leaseID 0: no lease),
--- a/scheduler/heartbeats.go
+++ b/scheduler/heartbeats.go
@@ -121,6 +121,9 @@
 
 // commandResponse returns the response to an accepted heartbeat, with starts that use the machine's free resources.
 func (am *agentManager) commandResponse(s *shard, mc *machine, hb *Heartbeat) HeartbeatResponse {
+	if am.mayStartEndedTask(s, mc) {
+		return HeartbeatResponse{}
+	}
 	am.startTasks(s, mc, hb)
 	return HeartbeatResponse{Accepted: true, Token: s.token, Commands: am.takeCommands(s, mc)}
 }
--- a/scheduler/lease_renewal.go
+++ b/scheduler/lease_renewal.go
@@ -71,6 +71,9 @@
 // renewalResponse returns the response to a heartbeat whose content is outdated, since a newer list of the machine's
 // tasks is known. It stops those that must end.
 func (am *agentManager) renewalResponse(s *shard, mc *machine) HeartbeatResponse {
+	if am.mayStartEndedTask(s, mc) {
+		return HeartbeatResponse{}
+	}
 	mc.commands = mc.commands[:0]
 	for _, orphan := range mc.orphans {
 		am.queueStop(s, mc, orphan)
@@ -92,3 +95,20 @@
 func (am *agentManager) queueStop(s *shard, mc *machine, key attemptKey) {
 	am.queueCommand(s, mc, Command{Kind: CommandStop, Task: key.task, Attempt: key.attempt})
 }
+
+// mayStartEndedTask reports whether the worker may, after it has received a response with the shard's token, still
+// execute an unanswered direct start of a job that ended too long ago. Renewing its lease then could let the task run
+// for longer than cancel_s. Usually the token has been raised before, so that the worker refuses the start.
+func (am *agentManager) mayStartEndedTask(s *shard, mc *machine) bool {
+	for _, a := range mc.byKey {
+		if a.exited || !a.isStartUnanswered(s.token) || !am.cache.hasEnded(a.taskRange.job) {
+			continue
+		}
+		if am.now.MonotonicMS >= a.taskRange.job.endedAfterMS+am.store.storeAccess.AuthorityMS() {
+			am.log(Warn, "lease not renewed: a start of a job that has ended may be in transit", "machine", mc.id,
+				"task", a.key.task, "attempt", a.key.attempt, "shard", s.name, "token", s.token)
+			return true
+		}
+	}
+	return false
+}
--- a/scheduler/lease_renewal_test.go
+++ b/scheduler/lease_renewal_test.go
@@ -96,7 +96,8 @@
 	orphan := TaskStatus{Task: "job-000077/0", Attempt: 4, State: taskRunning}
 	sc.ctrl.agents.sendDirectCommand(sc.s, sc.mc, 1, nil)
 	listed := testHeartbeat("i-1", 12, firstToken, sc.status(taskRunning, ""), orphan)
-	sc.ctrl.HandleDirectCommandResult(sc.ctrl.now, sc.ctrl.lastRequestID, DirectCommandResult{Outcome: OK, Heartbeat: &listed})
+	result := DirectCommandResult{Outcome: OK, Heartbeat: &listed}
+	sc.ctrl.HandleDirectCommandResult(sc.ctrl.now, sc.ctrl.lastRequestID, result)
 	sc.ctrl.cache.applyChange(KeyValue{Key: jobKey("job-000001"), Rev: 40})
 	sc.seq = 10
 	response := sc.report(firstToken)
@@ -104,3 +105,55 @@
 		t.Errorf("the response stops %v, want %v", got, want)
 	}
 }
+
+// Guards against ran_cancelled: the direct start of a cancelled job's task has no response, and the worker may execute
+// it as long as its lease is renewed under the same token. The lease is renewed for the time that a member which does
+// not know of the cancellation would renew it, and again under a higher token.
+func TestUnansweredStartOfCancelledJobEndsRenewals(t *testing.T) {
+	ctrl, s, mc := newControllerWithShard(t)
+	putTestJob(ctrl, 13, Range{Lo: 0, Hi: 1, Shard: "m0"})
+	ctrl.cache.jobs["job-000001"].rec.Job.EstimateS = 1
+	ctrl.placer.planShard(s)
+	ctrl.agents.sendUrgentStarts(s)
+	command := ctrl.TakeOutputs().DirectCommands[0]
+	ctrl.HandleDirectCommandResult(ctrl.now, command.ID, DirectCommandResult{Outcome: Unknown})
+	ctrl.cache.completeUntilMS = ctrl.now.MonotonicMS
+	ctrl.cache.applyChange(KeyValue{Key: jobKey("job-000001"), Rev: 40})
+	endsAt := ctrl.now.MonotonicMS + ctrl.store.storeAccess.AuthorityMS()
+	report := func(at int64, token uint64) HeartbeatResponse {
+		ctrl.now.MonotonicMS = at
+		ctrl.store.storeAccess.SetState(1, at, at)
+		ctrl.HandleHeartbeat(ctrl.now, 9, testHeartbeat("i-1", mc.Seq+1, token))
+		return ctrl.TakeOutputs().HeartbeatResponses[9]
+	}
+	if response := report(endsAt-1, firstToken); !response.Accepted || len(stopsIn(response.Commands)) != 1 {
+		t.Errorf("before the time limit: got %+v, want accepted with a stop of the start in transit", response)
+	}
+	if response := report(endsAt, firstToken); response.Accepted {
+		t.Errorf("after the time limit: got %+v, want a refusal", response)
+	}
+	putRecord(ctrl, claimKey("m0"), claimRecord{"m0", 7}, raisedToken)
+	if response := report(endsAt+1, firstToken); !response.Accepted || len(stopsIn(response.Commands)) != 1 {
+		t.Errorf("under a higher token: got %+v, want accepted with a stop of the start in transit", response)
+	}
+}
+
+// The time from which a job's renewals are counted is no later than its end: it precedes the sending of the watch that
+// brings the end, which may return at once with an older change.
+func TestEndOfJobIsCountedFromTheRefreshBeforeTheOneThatBringsIt(t *testing.T) {
+	ctrl, _, _ := newControllerWithShard(t)
+	putTestJob(ctrl, 13, Range{Lo: 0, Hi: 1, Shard: "m0"})
+	j := ctrl.cache.jobs["job-000001"]
+	ctrl.now.MonotonicMS = 5000
+	ctrl.watchLiveRecords(ctrl.store.storeAccess.Tick(5000).RefreshID)
+	for _, op := range ctrl.TakeOutputs().StoreOps {
+		if op.Kind == StoreWatch {
+			ctrl.now.MonotonicMS = 5010
+			removal := KeyValue{Key: jobKey("job-000001"), Rev: 40}
+			ctrl.HandleStoreResult(ctrl.now, op.ID, StoreResult{Rev: 41, KVs: []KeyValue{removal}})
+		}
+	}
+	if !ctrl.cache.hasEnded(j) || j.endedAfterMS != 1000 {
+		t.Errorf("ended %v, not before %d ms; want the refresh at 1000 ms", ctrl.cache.hasEnded(j), j.endedAfterMS)
+	}
+}
--- a/scheduler/state_cache.go
+++ b/scheduler/state_cache.go
@@ -21,6 +21,7 @@
 	keyRevisions    map[string]uint64 // revision of every cached key
 	tombstones      map[string]uint64 // revisions of the removals after appliedRevision
 	appliedRevision uint64            // all changes up to this one are applied
+	completeUntilMS int64             // monotonic time; all earlier changes were applied before the latest refresh
 
 	jobs             map[string]*job
 	shardClaims      map[string]claimRecord
--- a/scheduler/store_access.go
+++ b/scheduler/store_access.go
@@ -46,6 +46,7 @@
 
 func (c *Controller) listLiveRecords(refreshID uint64) {
 	c.store.listAll(livePrefix, func(kvs []KeyValue, rev uint64, outcome Outcome) {
+		c.cache.completeUntilMS = c.store.storeAccess.CacheRefreshSentAt()
 		if outcome == OK {
 			c.cache.applySnapshot(kvs, rev)
 		}
@@ -61,6 +62,7 @@
 		DurationMS: c.store.leaseRenewalIntervalMS(),
 	}
 	c.store.sendStore(op, func(r StoreResult) {
+		c.cache.completeUntilMS = c.store.storeAccess.CacheRefreshSentAt()
 		current := c.store.storeAccess.CompleteCacheRefresh(c.now.MonotonicMS, refreshID, r.Outcome, c.rng.Float64())
 		if current && r.Outcome == OK {
 			c.cache.applyWatchResult(r)
