--- a/access/access.go
+++ b/access/access.go
@@ -108,8 +108,8 @@
 // LeaseTTLMS returns the maximum TTL of a member's lease, and thereby of its authority, if a cancelled
 // task must end within cancelMS and a worker's lease is leaseMS. Every task ends with its worker's lease
 // at the latest, and only the response to a heartbeat renews that lease. So the bound counts from the
-// last response under which the task may run or start, whoever sends it. The time of each response,
-// counted from the confirmation of the cancellation, is:
+// last response of any member under which the task may run or start. Counted from the confirmation of the
+// cancellation, the time of that response is:
 //
 //	a member that does not know of the cancellation:
 //	  its last proof was sent before the confirmation             at most 0
--- a/reconcile/reconcile_test.go
+++ b/reconcile/reconcile_test.go
@@ -201,14 +201,14 @@
 	claim, machine := newTestMachine(claimedAt)
 	leaseEnd := claimedAt + claim.maxLeaseMS() + responseTTLMS
 	for seq, now := uint64(1), int64(200); now <= leaseEnd; seq, now = seq+1, now+300 {
-		want := QueryTasks
+		expected := QueryTasks
 		if now > claimedAt+claim.maxLeaseMS() {
-			want = NotifyToken
+			expected = NotifyToken
 		}
 		got := claim.ReceiveHeartbeat(machine, now, 1+seq/40, seq, olderToken)
-		if got != want || machine.IsAccountedFor() || len(claim.Unreported()) != 1 {
+		if got != expected || machine.IsAccountedFor() || len(claim.Unreported()) != 1 {
 			t.Fatalf("at %d: got %v, state %v, accounted for %v, %d unreported, want %v, false, 1 unreported",
-				now, got, machine.State(), machine.IsAccountedFor(), len(claim.Unreported()), want)
+				now, got, machine.State(), machine.IsAccountedFor(), len(claim.Unreported()), expected)
 		}
 	}
 	if got := claim.ReceiveHeartbeat(machine, leaseEnd+1, 2, 900, olderToken); got != NotifyToken {
@@ -236,10 +236,10 @@
 	const claimedAt = 100
 	leaseEnd := claimedAt + NewClaim(modelSettings, testToken, claimedAt).maxLeaseMS()
 	for _, c := range []struct {
-		name  string
-		token uint64
-		at    int64
-		want  Disposition
+		name     string
+		token    uint64
+		at       int64
+		expected Disposition
 	}{
 		{"at the claim", olderToken, claimedAt, QueryTasks},
 		{"within a lease of the claim", olderToken, leaseEnd, QueryTasks},
@@ -249,8 +249,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			claim, machine := newTestMachine(claimedAt)
-			if got := claim.ReceiveHeartbeat(machine, c.at, 1, 1, c.token); got != c.want {
-				t.Errorf("got %v, want %v", got, c.want)
+			if got := claim.ReceiveHeartbeat(machine, c.at, 1, 1, c.token); got != c.expected {
+				t.Errorf("got %v, want %v", got, c.expected)
 			}
 		})
 	}
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -78,7 +78,7 @@
 	started []*attempt // attempts that the command starts; empty for stops or a query
 
 	isAwaited bool   // the response to a heartbeat waits for the answer
-	replyID   uint64 // of that heartbeat
+	replyID   uint64 // identifies that heartbeat
 }
 
 // queryUnreportedMachines queries the tasks of workers that were sent our fencing token and would
--- a/scheduler/lease_renewal.go
+++ b/scheduler/lease_renewal.go
@@ -69,7 +69,7 @@
 }
 
 // renewalResponse returns the response to a heartbeat whose content is outdated, since a newer list of the machine's
-// tasks is known. It stops those that must end.
+// tasks is known. It stops the tasks that must end.
 func (am *agentManager) renewalResponse(s *shard, mc *machine) HeartbeatResponse {
 	if am.mayStartEndedTask(s, mc) {
 		return HeartbeatResponse{}
@@ -97,7 +97,7 @@
 }
 
 // mayStartEndedTask reports whether the worker may, after it has received a response with the shard's token, still
-// execute an unanswered direct start of a job that ended too long ago. Renewing its lease then could let the task run
+// execute an unanswered direct start of a job that ended too long ago. If its lease were renewed, the task could run
 // for longer than cancel_s. Usually the token has been raised before, so that the worker refuses the start.
 func (am *agentManager) mayStartEndedTask(s *shard, mc *machine) bool {
 	for _, a := range mc.byKey {
--- a/scheduler/lease_renewal_test.go
+++ b/scheduler/lease_renewal_test.go
@@ -138,9 +138,9 @@
 	}
 }
 
-// The time from which a job's renewals are counted is no later than its end: it precedes the sending of the watch that
+// The time from which a job's renewals are counted is not after its end: it precedes the sending of the watch that
 // brings the end, which may return at once with an older change.
-func TestEndOfJobIsCountedFromTheRefreshBeforeTheOneThatBringsIt(t *testing.T) {
+func TestEndOfJobIsCountedFromRefreshBeforeTheOneThatReportsIt(t *testing.T) {
 	ctrl, _, _ := newControllerWithShard(t)
 	putTestJob(ctrl, 13, Range{Lo: 0, Hi: 1, Shard: "m0"})
 	j := ctrl.cache.jobs["job-000001"]
@@ -157,3 +157,28 @@
 		t.Errorf("ended %v, not before %d ms; want the refresh at 1000 ms", ctrl.cache.hasEnded(j), j.endedAfterMS)
 	}
 }
+
+// The response to a direct command overtakes a heartbeat. The response to that heartbeat still renews
+// the worker's lease, so the shard's owner counts a full lease from it.
+func TestOvertakenHeartbeatRenewsWorkerLease(t *testing.T) {
+	ctrl, s, mc := newControllerWithShard(t)
+	mc.Seq = 9 // the response to the direct command set it
+	ctrl.HandleHeartbeat(Now{2000, 2000}, 2, testHeartbeat("i-1", 8, 11))
+	if resp := ctrl.TakeOutputs().HeartbeatResponses[2]; !resp.Accepted || len(resp.Commands) > 0 {
+		t.Fatalf("response to an overtaken heartbeat: %+v, want accepted without commands", resp)
+	}
+	if leaseEnd := s.reconciler.LeaseExpiresAt(mc.Machine); leaseEnd < 2000+secondsToMS(ctrl.params.LeaseS) {
+		t.Errorf("the lease expires at %d ms, want a full lease from 2000 ms", leaseEnd)
+	}
+}
+
+// A claim whose progress records are not read yet renews no worker's lease. Its owner could not stop a
+// task whose job was cancelled while the shard had no owner.
+func TestWorkerLeaseIsNotRenewedBeforeShardIsReady(t *testing.T) {
+	ctrl, s, _ := newControllerWithShard(t)
+	s.ready = false
+	ctrl.HandleHeartbeat(ctrl.now, 5, testHeartbeat("i-1", 4, 11))
+	if a := ctrl.TakeOutputs().HeartbeatResponses[5]; a.Accepted || a.RedirectTo != "" {
+		t.Errorf("response %+v, want neither accepted nor redirected", a)
+	}
+}
--- a/scheduler/new_owner_cancellation_test.go
+++ b/scheduler/new_owner_cancellation_test.go
@@ -22,21 +22,21 @@
 
 // Times of the scenario in milliseconds.
 const (
-	ownerRefusedAtMS   = 40_000
-	ownerRefusedForMS  = 60_000
-	newOwnerScenarioMS = ownerRefusedAtMS + 40_000
-	heldStartsFromMS   = ownerRefusedAtMS - 1000 // direct starts sent from then on are delayed
+	ownerRefusedAtMS    = 40_000
+	ownerRefusedForMS   = 60_000
+	newOwnerScenarioMS  = ownerRefusedAtMS + 40_000
+	delayedStartsFromMS = ownerRefusedAtMS - 1000 // direct starts sent from then on are delayed
 )
 
 // newOwnerRun is one run of the scenario.
 type newOwnerRun struct {
 	*testSimulation
-	owner      *emulator.Member // refused by the state service
-	newOwner   *emulator.Member // adopted its shard; nil: none yet
-	scenario   newOwnerScenario
-	knowsOwner map[*emulator.Worker]bool // has received a message of the new owner
-	isCut      map[*emulator.Worker]bool
-	heldStarts map[string][]scheduler.DirectCommand // direct starts of the refused owner, by machine
+	owner         *emulator.Member // refused by the state service
+	newOwner      *emulator.Member // adopted its shard; nil: none yet
+	scenario      newOwnerScenario
+	knowsOwner    map[*emulator.Worker]bool // has received a message of the new owner
+	isCut         map[*emulator.Worker]bool
+	delayedStarts map[string][]scheduler.DirectCommand // direct starts of the refused owner, by machine
 
 	exposed    int   // machines that had tasks of cancelled jobs when the first message of a new owner came
 	lateStarts int   // tasks of cancelled jobs that a delayed start began while the first heartbeat was in flight
@@ -47,7 +47,7 @@
 type newOwnerScenario struct {
 	capacityPerOffering int
 	cutsAtRenewal       bool // machines lose the network with the first renewal of their lease, not the first message
-	holdStarts          bool // direct starts of the refused owner arrive after the first heartbeat to the new owner
+	delayStarts         bool // direct starts of the refused owner arrive after the first heartbeat to the new owner
 	taskRunMS           func(*emulator.Simulation, *emulator.Job, string) int64
 }
 
@@ -56,7 +56,7 @@
 	"cut at the first renewal": {capacityPerOffering: 6, cutsAtRenewal: true, taskRunMS: taskRunsFor(70_000, 60_000)},
 	"starts while the first heartbeat is in flight": {
 		capacityPerOffering: 2,
-		holdStarts:          true,
+		delayStarts:         true,
 		taskRunMS: func(sim *emulator.Simulation, j *emulator.Job, _ string) int64 {
 			if j.Spec.Class == "batch" {
 				return 20_000 // so that machines are idle when the urgent jobs come
@@ -71,10 +71,10 @@
 	params := newParams(10_000)
 	params.Teams = map[string]scheduler.Team{"t0": {}}
 	run := &newOwnerRun{
-		scenario:   scenario,
-		knowsOwner: map[*emulator.Worker]bool{},
-		isCut:      map[*emulator.Worker]bool{},
-		heldStarts: map[string][]scheduler.DirectCommand{},
+		scenario:      scenario,
+		knowsOwner:    map[*emulator.Worker]bool{},
+		isCut:         map[*emulator.Worker]bool{},
+		delayedStarts: map[string][]scheduler.DirectCommand{},
 	}
 	options := emulator.Options{
 		Seed:                9000 + seed,
@@ -84,13 +84,13 @@
 		Params:              params,
 		TaskRunMS:           scenario.taskRunMS,
 	}
-	options.InjectedFault.Heartbeat = func(hb *scheduler.Heartbeat) { run.deliverHeldStarts(hb) }
+	options.InjectedFault.Heartbeat = func(hb *scheduler.Heartbeat) { run.deliverDelayedStarts(hb) }
 	run.testSimulation = &testSimulation{Simulation: emulator.New(options), noRandomFaults: true}
 	run.TraceEnabled = *traceSeed == int(seed)
 	for n := range 14 {
 		run.After(500+run.Rand.Int64N(8000), func() { run.Submit(emulator.NewJob(newLongJob(n, 1+run.Rand.IntN(10)))) })
-		if scenario.holdStarts {
-			run.After(heldStartsFromMS+run.Rand.Int64N(700), func() { run.submitUrgentJob(14 + n) })
+		if scenario.delayStarts {
+			run.After(delayedStartsFromMS+run.Rand.Int64N(700), func() { run.submitUrgentJob(14 + n) })
 		}
 	}
 	run.After(ownerRefusedAtMS-1500, func() { run.owner = run.memberWithMostTasks() })
@@ -99,7 +99,7 @@
 		run.After(ownerRefusedAtMS+run.Rand.Int64N(100), func() { run.cancelThroughPeer(fmt.Sprintf("job-%06d", n)) })
 	}
 	run.OnWorkerMessage = run.observeMessage
-	if scenario.holdStarts {
+	if scenario.delayStarts {
 		run.Observer = run.observe
 	}
 	run.Run(newOwnerScenarioMS, func() bool { return false })
@@ -147,7 +147,7 @@
 	}
 }
 
-// cutMachine disconnects a machine from all members. What has reached it is still executed.
+// cutMachine disconnects a machine from all members. Messages that have reached it are executed.
 func (run *newOwnerRun) cutMachine(worker *emulator.Worker) {
 	run.isCut[worker] = true
 	run.partition(emulator.Partition{A: worker.Endpoint(), Until: run.Now + ownerRefusedForMS, DropsMessages: true})
@@ -176,11 +176,11 @@
 
 // observe finds the new owner, and takes the direct starts of the refused owner off the network.
 func (run *newOwnerRun) observe(m *emulator.Member, outputs *scheduler.Outputs) {
-	if run.Now < heldStartsFromMS {
+	if run.Now < delayedStartsFromMS {
 		return
 	}
 	if m == run.owner {
-		run.holdStarts(outputs)
+		run.delayStarts(outputs)
 		return
 	}
 	for _, line := range outputs.Logs {
@@ -190,28 +190,28 @@
 	}
 }
 
-func (run *newOwnerRun) holdStarts(outputs *scheduler.Outputs) {
+func (run *newOwnerRun) delayStarts(outputs *scheduler.Outputs) {
 	var others []scheduler.DirectCommand
 	for _, command := range outputs.DirectCommands {
 		if len(command.Commands) == 0 {
 			others = append(others, command)
 			continue
 		}
-		run.heldStarts[command.Machine] = append(run.heldStarts[command.Machine], command)
+		run.delayedStarts[command.Machine] = append(run.delayedStarts[command.Machine], command)
 	}
 	outputs.DirectCommands = others
 }
 
-// deliverHeldStarts delivers the held direct starts to a machine that has just sent a heartbeat to a new owner.
-func (run *newOwnerRun) deliverHeldStarts(hb *scheduler.Heartbeat) {
+// deliverDelayedStarts delivers the held direct starts to a machine that has just sent a heartbeat to a new owner.
+func (run *newOwnerRun) deliverDelayedStarts(hb *scheduler.Heartbeat) {
 	worker := run.Workers[hb.Machine]
 	if run.newOwner == nil || worker.MemberName(run.Simulation) != run.newOwner.Name {
 		return
 	}
-	held := run.heldStarts[hb.Machine]
-	delete(run.heldStarts, hb.Machine)
+	delayed := run.delayedStarts[hb.Machine]
+	delete(run.delayedStarts, hb.Machine)
 	run.After(1, func() {
-		for _, command := range held {
+		for _, command := range delayed {
 			before := len(run.cancelledTasks(worker))
 			worker.Agent.ApplyDirectCommand(worker.Clock(run.Simulation), command)
 			run.lateStarts += max(0, len(run.cancelledTasks(worker))-before)
@@ -244,7 +244,7 @@
 	if uint64(totals.played) < *newOwnerSeeds {
 		return
 	}
-	if totals.exposed < totals.played || scenario.holdStarts && totals.lateStarts < totals.played {
+	if totals.exposed < totals.played || scenario.delayStarts && totals.lateStarts < totals.played {
 		t.Errorf("got %d machines and %d late starts, want at least one for each of %d seeds",
 			totals.exposed, totals.lateStarts, totals.played)
 	}
--- a/scheduler/team_usage_test.go
+++ b/scheduler/team_usage_test.go
@@ -46,7 +46,7 @@
 
 // The status of a team with a limit contains the amounts held back for unreported machines and for tasks
 // without a job.
-func TestShardStatusNamesWhatIsHeldBack(t *testing.T) {
+func TestShardStatusNamesReservedAmounts(t *testing.T) {
 	ctrl, _, _ := newMachineWithUnknownTasks(t)
 	addUnreportedMachine(ctrl, false)
 	teams := ctrl.Status(ctrl.now).Shards[0].Teams
--- a/scheduler/unknown_tasks_simulation_test.go
+++ b/scheduler/unknown_tasks_simulation_test.go
@@ -21,19 +21,19 @@
 
 // Times of the scenario in milliseconds. Members end together every restartIntervalMS.
 const (
-	limitFaultWindowMS  = 125_000
-	limitScenarioEndMS  = 900_000
-	restartIntervalMS   = 16_000
-	partitionLeadMS     = 1000 // machines cannot report from this time before the end of the members
-	cancelDelayMS       = 3700 // jobs are cancelled this time after the end of the members
-	limitedTeam         = "t0"
-	limitScenarioJobs   = 90
-	limitedTaskCPUs     = 4
-	partitionedShare    = 0.5
-	cancelledShare      = 0.5
-	lateCommandsShare   = 0.8
-	lostShare           = 0.1
-	limitSimulationSeed = 60_000 // is added to the scenario's seeds
+	limitFaultWindowMS       = 125_000
+	limitScenarioEndMS       = 900_000
+	restartIntervalMS        = 16_000
+	partitionBeforeRestartMS = 1000 // machines cannot report from this time before the end of the members
+	cancelDelayMS            = 3700 // jobs are cancelled this time after the end of the members
+	limitedTeam              = "t0"
+	limitScenarioJobs        = 90
+	limitedTaskCPUs          = 4
+	partitionedShare         = 0.5
+	cancelledShare           = 0.5
+	lateCommandsShare        = 0.8
+	lostShare                = 0.1
+	limitSimulationSeed      = 60_000 // is added to the scenario's seeds
 )
 
 // heartbeatTiming is a ratio of heartbeat interval, lease and time limit of cancellations, in seconds.
@@ -76,8 +76,8 @@
 	inject         func(*testSimulation)
 }
 
-// limitedBesideUnlimited is a team at its limit next to one without a limit, whose starts do not wait for it.
-func limitedBesideUnlimited(seed uint64) limitScenario {
+// limitedNextToUnlimited is a team at its limit next to one without a limit, whose starts do not wait for it.
+func limitedNextToUnlimited(seed uint64) limitScenario {
 	limit := []float64{50, 70, 105}[seed%3]
 	return limitScenario{
 		teams:          map[string]scheduler.Team{limitedTeam: {MaxCPUs: limit}, "t1": {}},
@@ -150,7 +150,7 @@
 
 // restartWithCancelledJobs ends all members at a time, and cancels jobs of the given teams after they are back.
 func (sim *testSimulation) restartWithCancelledJobs(at int64, teams []string) {
-	sim.After(at-partitionLeadMS, func() {
+	sim.After(at-partitionBeforeRestartMS, func() {
 		sim.SampleLiveWorkers(partitionedShare, func(worker *emulator.Worker) {
 			sim.PartitionOutbound(worker, sim.randomBetween(5000, 8000))
 		})
@@ -183,8 +183,8 @@
 }
 
 // Guards against quota: starts next to tasks of cancelled jobs, which the members do not count, after all members end.
-func TestTeamStaysWithinLimitBesideTasksOfCancelledJobs(t *testing.T) {
-	playLimitScenarios(t, limitScenarioSeeds(), limitedBesideUnlimited)
+func TestTeamStaysWithinLimitNextToTasksOfCancelledJobs(t *testing.T) {
+	playLimitScenarios(t, limitScenarioSeeds(), limitedNextToUnlimited)
 }
 
 // Guards against quota: every team is at its limit, and jobs of all are cancelled, while members end together.
--- a/scheduler/unknown_tasks_test.go
+++ b/scheduler/unknown_tasks_test.go
@@ -38,7 +38,7 @@
 }
 
 // Guards against quota: a start that is decided on a machine with unknown tasks gives other teams more of their limits.
-func TestStartBesideUnknownTasksLowersNoTeamsUsage(t *testing.T) {
+func TestStartNextToUnknownTasksLowersNoTeamsUsage(t *testing.T) {
 	ctrl, s, mc := newMachineWithUnknownTasks(t)
 	if used := usedByOps(ctrl, s); used != 7 {
 		t.Fatalf("next to 1 known CPU of 8, %v CPUs are held back for unknown tasks, want 7", used)
