--- a/scheduler/lease_renewal.go
+++ b/scheduler/lease_renewal.go
@@ -86,7 +86,7 @@
 // an attempt may be on the machine although no report lists it: its start was in transit.
 func (am *agentManager) stopUnreportedAttempts(s *shard, mc *machine, reported map[attemptKey]bool) {
 	for _, a := range mc.byKey {
-		if !a.exited && !reported[a.key] && am.cache.hasEnded(a.taskRange.job) {
+		if !a.exited && a.taskRange.job.ended && !reported[a.key] {
 			am.queueStop(s, mc, a.key)
 		}
 	}
@@ -101,10 +101,11 @@
 // for longer than cancel_s. Usually the token has been raised before, so that the worker refuses the start.
 func (am *agentManager) mayStartEndedTask(s *shard, mc *machine) bool {
 	for _, a := range mc.byKey {
-		if a.exited || !a.isStartUnanswered(s.token) || !am.cache.hasEnded(a.taskRange.job) {
+		j := a.taskRange.job
+		if a.exited || !j.ended || !a.isStartUnanswered(s.token) {
 			continue
 		}
-		if am.now.MonotonicMS >= a.taskRange.job.endedAfterMS+am.store.storeAccess.AuthorityMS() {
+		if am.now.MonotonicMS >= j.endedAfterMS+am.store.storeAccess.AuthorityMS() {
 			am.log(Warn, "lease not renewed: a start of a job that has ended may be in transit", "machine", mc.id,
 				"task", a.key.task, "attempt", a.key.attempt, "shard", s.name, "token", s.token)
 			return true
--- a/scheduler/lease_renewal_test.go
+++ b/scheduler/lease_renewal_test.go
@@ -153,8 +153,8 @@
 			ctrl.HandleStoreResult(ctrl.now, op.ID, StoreResult{Rev: 41, KVs: []KeyValue{removal}})
 		}
 	}
-	if !ctrl.cache.hasEnded(j) || j.endedAfterMS != 1000 {
-		t.Errorf("ended %v, not before %d ms; want the refresh at 1000 ms", ctrl.cache.hasEnded(j), j.endedAfterMS)
+	if !j.ended || j.endedAfterMS != 1000 {
+		t.Errorf("ended %v, not before %d ms; want the refresh at 1000 ms", j.ended, j.endedAfterMS)
 	}
 }
 
--- a/scheduler/new_owner_cancellation_test.go
+++ b/scheduler/new_owner_cancellation_test.go
@@ -20,11 +20,13 @@
 // newOwnerSeeds is the number of seeds of each scenario. A run by hand can play more.
 var newOwnerSeeds = flag.Uint64("new-owner-seeds", 64, "number of seeds with cancellations before a new owner")
 
-// Times of the scenario in milliseconds.
+// Times of the scenario in milliseconds, and numbers of jobs.
 const (
 	ownerRefusedAtMS    = 40_000
 	ownerRefusedForMS   = 60_000
 	newOwnerScenarioMS  = ownerRefusedAtMS + 40_000
+	longJobs            = 14
+	urgentJobs          = 14
 	delayedStartsFromMS = ownerRefusedAtMS - 1000 // direct starts sent from then on are delayed
 )
 
@@ -38,7 +40,7 @@
 	isCut         map[*emulator.Worker]bool
 	delayedStarts map[string][]scheduler.DirectCommand // direct starts of the refused owner, by machine
 
-	exposed    int   // machines that had tasks of cancelled jobs when the first message of a new owner came
+	exposed    int   // machines with tasks of cancelled jobs at a new owner's first message, or when they were cut
 	lateStarts int   // tasks of cancelled jobs that a delayed start began while the first heartbeat was in flight
 	longestMS  int64 // longest time that a task was on a machine after the confirmation
 }
@@ -66,8 +68,8 @@
 	},
 }
 
-// runNewOwner plays a scenario with one seed.
-func runNewOwner(seed uint64, scenario newOwnerScenario) *newOwnerRun {
+// newNewOwnerRun returns a simulation without jobs and faults.
+func newNewOwnerRun(seed uint64, scenario newOwnerScenario) *newOwnerRun {
 	params := newParams(10_000)
 	params.Teams = map[string]scheduler.Team{"t0": {}}
 	run := &newOwnerRun{
@@ -77,7 +79,7 @@
 		delayedStarts: map[string][]scheduler.DirectCommand{},
 	}
 	options := emulator.Options{
-		Seed:                9000 + seed,
+		Seed:                seed,
 		Members:             3,
 		Types:               simTypes,
 		CapacityPerOffering: scenario.capacityPerOffering,
@@ -86,16 +88,22 @@
 	}
 	options.InjectedFault.Heartbeat = func(hb *scheduler.Heartbeat) { run.deliverDelayedStarts(hb) }
 	run.testSimulation = &testSimulation{Simulation: emulator.New(options), noRandomFaults: true}
+	return run
+}
+
+// runNewOwner plays a scenario with one seed.
+func runNewOwner(seed uint64, scenario newOwnerScenario) *newOwnerRun {
+	run := newNewOwnerRun(9000+seed, scenario)
 	run.TraceEnabled = *traceSeed == int(seed)
-	for n := range 14 {
-		run.After(500+run.Rand.Int64N(8000), func() { run.Submit(emulator.NewJob(newLongJob(n, 1+run.Rand.IntN(10)))) })
+	run.submitLongJobs()
+	for n := range urgentJobs {
 		if scenario.delayStarts {
-			run.After(delayedStartsFromMS+run.Rand.Int64N(700), func() { run.submitUrgentJob(14 + n) })
+			run.After(delayedStartsFromMS+run.Rand.Int64N(700), func() { run.submitUrgentJob(longJobs + n) })
 		}
 	}
 	run.After(ownerRefusedAtMS-1500, func() { run.owner = run.memberWithMostTasks() })
 	run.After(ownerRefusedAtMS, func() { run.StartOutage(run.owner.Name, ownerRefusedForMS) })
-	for n := range 28 {
+	for n := range longJobs + urgentJobs {
 		run.After(ownerRefusedAtMS+run.Rand.Int64N(100), func() { run.cancelThroughPeer(fmt.Sprintf("job-%06d", n)) })
 	}
 	run.OnWorkerMessage = run.observeMessage
@@ -106,6 +114,12 @@
 	return run
 }
 
+func (run *newOwnerRun) submitLongJobs() {
+	for n := range longJobs {
+		run.After(500+run.Rand.Int64N(8000), func() { run.Submit(emulator.NewJob(newLongJob(n, 1+run.Rand.IntN(10)))) })
+	}
+}
+
 // submitUrgentJob submits a job whose tasks are started by direct commands.
 func (run *newOwnerRun) submitUrgentJob(n int) {
 	j := newLongJob(n, 1+run.Rand.IntN(3))
@@ -120,7 +134,7 @@
 	for peer == run.owner {
 		peer = run.randomMember()
 	}
-	if j == nil || !j.Accepted {
+	if j == nil || !j.Accepted || peer.Core == nil {
 		return
 	}
 	j.CancelRequested = true
@@ -226,7 +240,15 @@
 	longestMS                   int64
 }
 
-func (totals *newOwnerTotals) add(run *newOwnerRun) {
+// addChecked adds a run and checks that it broke no rule.
+func (totals *newOwnerTotals) addChecked(t *testing.T, run *newOwnerRun) {
+	t.Helper()
+	for _, line := range run.TraceLog {
+		fmt.Println(line)
+	}
+	for rule, violation := range run.Violations {
+		t.Errorf("%s: %s", rule, violation)
+	}
 	totals.Lock()
 	defer totals.Unlock()
 	totals.played++
@@ -238,7 +260,7 @@
 // check checks that the scenario occurs at least once for each seed, if all seeds were played.
 func (totals *newOwnerTotals) check(t *testing.T, scenario newOwnerScenario) {
 	t.Helper()
-	t.Logf("%d seeds: %d machines had cancelled tasks at a new owner's first message, %d late starts",
+	t.Logf("%d seeds: %d machines with tasks of cancelled jobs were exposed, %d late starts",
 		totals.played, totals.exposed, totals.lateStarts)
 	t.Logf("their tasks were gone after %d ms at most", totals.longestMS)
 	if uint64(totals.played) < *newOwnerSeeds {
@@ -260,13 +282,74 @@
 			for seed := range *newOwnerSeeds {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					t.Parallel()
-					run := runNewOwner(seed, scenario)
-					for rule, violation := range run.Violations {
-						t.Errorf("%s: %s", rule, violation)
-					}
-					totals.add(run)
+					totals.addChecked(t, runNewOwner(seed, scenario))
 				})
 			}
 		})
 	}
 }
+
+// runOwnerChanges plays refusals, restarts and hand-overs of owners in random order. Direct commands are late, and
+// machines lose the network or hang at random messages.
+func runOwnerChanges(seed uint64) *newOwnerRun {
+	run := newNewOwnerRun(200_000+seed, newOwnerScenario{capacityPerOffering: 3, taskRunMS: taskRunsFor(20_000, 60_000)})
+	run.TraceEnabled = *traceSeed == int(seed)
+	run.submitLongJobs()
+	for n := range urgentJobs {
+		run.After(ownerRefusedAtMS-5000+run.Rand.Int64N(20_000), func() { run.submitUrgentJob(longJobs + n) })
+	}
+	run.After(ownerRefusedAtMS-1500, func() {
+		run.owner = run.memberWithMostTasks()
+		run.DelayCommands(0.4, newOwnerScenarioMS)
+	})
+	run.After(ownerRefusedAtMS, func() { run.StartOutage(run.owner.Name, run.randomBetween(5000, ownerRefusedForMS)) })
+	for n := range longJobs + urgentJobs {
+		cancelAtMS := ownerRefusedAtMS + run.randomBetween(-1500, 18_000)
+		run.After(cancelAtMS, func() { run.cancelThroughPeer(fmt.Sprintf("job-%06d", n)) })
+	}
+	for range run.Rand.IntN(4) {
+		run.After(run.randomBetween(ownerRefusedAtMS, ownerRefusedAtMS+30_000), run.injectOwnerFault)
+	}
+	run.OnWorkerMessage = func(worker *emulator.Worker, _ uint64, renewsLease bool) {
+		if run.Now < ownerRefusedAtMS || run.isCut[worker] || !renewsLease || run.Rand.IntN(25) > 0 {
+			return
+		}
+		if len(run.cancelledTasks(worker)) > 0 {
+			run.exposed++
+			run.measureCancelledTasks(worker)
+		}
+		run.cutMachine(worker)
+	}
+	run.Run(newOwnerScenarioMS+20_000, func() bool { return false })
+	return run
+}
+
+// injectOwnerFault restarts or refuses a random member, or delays its inputs.
+func (run *newOwnerRun) injectOwnerFault() {
+	m := run.randomMember()
+	switch run.Rand.IntN(4) {
+	case 0:
+		m.Crash(run.randomBetween(200, 5000))
+	case 1:
+		run.StartOutage(m.Name, run.randomBetween(2000, 30_000))
+	case 2:
+		run.PauseMember(m, run.randomBetween(500, 9000))
+	case 3:
+		run.SampleLiveWorkers(0.3, func(worker *emulator.Worker) {
+			worker.HangUntil = run.Now + run.randomBetween(500, 8000)
+		})
+	}
+}
+
+// Guards against ran_cancelled: owners change in any order while jobs are cancelled, and a machine loses the network
+// after any renewal of its lease.
+func TestCancelledTasksStopWithinBoundAcrossChangesOfOwner(t *testing.T) {
+	var totals newOwnerTotals
+	t.Cleanup(func() { totals.check(t, newOwnerScenario{}) })
+	for seed := range *newOwnerSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			totals.addChecked(t, runOwnerChanges(seed))
+		})
+	}
+}
--- a/scheduler/state_cache.go
+++ b/scheduler/state_cache.go
@@ -103,9 +103,6 @@
 	}
 }
 
-// hasEnded reports whether a job that was in the cache is done, cancelled or failed.
-func (cache *stateCache) hasEnded(j *job) bool { return cache.jobs[j.rec.Job.ID] != j }
-
 // isStale reports whether a change is not newer than the cached state of its key.
 func (cache *stateCache) isStale(kv KeyValue) bool {
 	keyRevision, known := cache.keyRevisions[kv.Key]
--- a/scheduler/task_ranges.go
+++ b/scheduler/task_ranges.go
@@ -14,6 +14,7 @@
 	taskRanges          map[int]*taskRange // ranges of owned shards, by their first task
 	failureReason       string             // why the job is to fail; empty: it is not
 	awaitingBegunRecord bool               // at-most-once: a task waits for the record that tasks may have started
+	ended               bool               // it is done, cancelled or failed, and not in the cache any more
 	endedAfterMS        int64              // once it has ended: monotonic time before which it had not
 }
 
@@ -317,7 +318,7 @@
 		return
 	}
 	delete(sm.cache.jobs, id)
-	j.endedAfterMS = sm.cache.completeUntilMS
+	j.ended, j.endedAfterMS = true, sm.cache.completeUntilMS
 	sm.quotas.guaranteeStatus.valid = false
 	for _, tr := range j.taskRanges {
 		sm.dropTaskRange(tr)
