--- a/scheduler/new_owner_cancellation_test.go
+++ b/scheduler/new_owner_cancellation_test.go
@@ -292,7 +292,8 @@
 // runOwnerChanges plays refusals, restarts and hand-overs of owners in random order. Direct commands are late, and
 // machines lose the network or hang at random messages.
 func runOwnerChanges(seed uint64) *newOwnerRun {
-	run := newNewOwnerRun(200_000+seed, newOwnerScenario{capacityPerOffering: 3, taskRunMS: taskRunsFor(20_000, 60_000)})
+	scenario := newOwnerScenario{capacityPerOffering: 3, taskRunMS: taskRunsFor(20_000, 60_000)}
+	run := newNewOwnerRun(200_000+seed, scenario)
 	run.TraceEnabled = *traceSeed == int(seed)
 	run.submitLongJobs()
 	for n := range urgentJobs {
