--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -136,7 +136,7 @@
 	ownerHeartbeats      []capturedHeartbeat
 	newOwners            map[string]bool // members with a claim that have sent no command yet
 	commandDelays        faultRate       // of direct commands
-	queryDelays          faultRate       // of task queries
+	queryDelays          faultRate       // share of task queries that are late
 	commandCopies        faultRate       // share of direct commands that arrive again
 	cancelsAtEnd         faultRate       // of jobs that are cancelled as they end
 	concurrentReadsUntil int64           // end of the time in which users query all members concurrently
--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -90,9 +90,8 @@
 // ResponseTTLMS is the age at which a worker drops the response to a heartbeat.
 const ResponseTTLMS = 4000
 
-const (
-	queryDelayDivisor = 4 // fraction of the heartbeat interval that a worker has to report before it is queried
-)
+// queryDelayDivisor divides the heartbeat interval: delay before a worker that has not reported is queried.
+const queryDelayDivisor = 4
 
 // Claim is the reconciliation state of one claim of a shard.
 type Claim struct {
--- a/scheduler/new_owner_cancellation_test.go
+++ b/scheduler/new_owner_cancellation_test.go
@@ -362,7 +362,7 @@
 	const (
 		seeds          = 6
 		lateShare      = 0.2
-		maxRepeatShare = 0.02 // of the starts
+		maxRepeatShare = 0.02 // share of all starts
 	)
 	starts, repeatedStarts := 0, 0
 	for seed := range uint64(seeds) {
@@ -387,6 +387,6 @@
 	}
 	t.Logf("%d of %d starts were repeated", repeatedStarts, starts)
 	if float64(repeatedStarts) > maxRepeatShare*float64(starts) {
-		t.Errorf("got %d of %d starts repeated, want at most %v of them", repeatedStarts, starts, maxRepeatShare)
+		t.Errorf("got %d of %d starts repeated, want at most a share of %v", repeatedStarts, starts, maxRepeatShare)
 	}
 }
