--- /dev/null
+++ b/scheduler/response_age.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import "github.com/grebedock/grebedock/access"
+
+const (
+	// confirmAgeDivisor is the divisor of the request timeout that gives the age from which an
+	// observation is late: a multiple of the time in which the state service usually responds.
+	confirmAgeDivisor = 40
+	// maxAgeDivisor is the divisor of the request timeout that gives the maximum age of an
+	// observation in a response.
+	maxAgeDivisor = 20
+	// writeLatencySamples is the number of recent writes of which the fastest counts. The lease
+	// is renewed often enough that slow writes leave the samples soon.
+	writeLatencySamples = 8
+)
+
+// responseAgeLimits are the maximum ages of an observation in a response to a user.
+type responseAgeLimits struct {
+	confirmMS int64 // an older observation is late and is repeated, if it can be
+	maxMS     int64 // an older observation is not used
+}
+
+// newResponseAgeLimits returns the limits for a service whose fastest recent write took
+// fastestWriteMS. Another member tells its users of a write only after the service's answer,
+// so an observation may be older by that time if the service is slow for every member.
+func newResponseAgeLimits(fastestWriteMS int64) responseAgeLimits {
+	timeoutMS := access.RequestTimeout.Milliseconds()
+	return responseAgeLimits{
+		confirmMS: fastestWriteMS + timeoutMS/confirmAgeDivisor,
+		maxMS:     fastestWriteMS + timeoutMS/maxAgeDivisor,
+	}
+}
+
+// recentWrites keeps the latencies of a member's last writes to the state service, including
+// renewals of its lease.
+type recentWrites struct {
+	latenciesMS [writeLatencySamples]int64
+	count       int // of all writes so far
+}
+
+// observe adds the latency of a write.
+func (w *recentWrites) observe(latencyMS int64) {
+	w.latenciesMS[w.count%writeLatencySamples] = latencyMS
+	w.count++
+}
+
+// fastestMS returns the latency of the fastest recent write, or 0 if there are too few.
+func (w *recentWrites) fastestMS() int64 {
+	if w.count < writeLatencySamples {
+		return 0
+	}
+	fastest := w.latenciesMS[0]
+	for _, latencyMS := range w.latenciesMS {
+		fastest = min(fastest, latencyMS)
+	}
+	return fastest
+}
+
+// fastestWriteOfMembersMS returns the latency of the fastest recent write of this member and
+// of the peers that it has recent messages from.
+func (pt *peerTable) fastestWriteOfMembersMS() int64 {
+	fastest := pt.store.recentWrites.fastestMS()
+	for memberID, peer := range pt.peers {
+		if memberID != pt.params.MemberID && pt.isFresh(peer) {
+			fastest = min(fastest, peer.message.FastestWriteMS)
+		}
+	}
+	return fastest
+}
