Every response to a user is held against the time of what it rests on

With the same delay of one answer of the state service: pending after a cancellation at another controller, a repeated submission answered pending, 404 after the job was accepted, 201 after it was cancelled elsewhere.

Cause: a response was taken to be as recent as its arrival. It is as old as the state that it rests on: the result of a read, a batch, a write or a peer's request that was under way when another request was answered.

Fix: one place decides (requestHandler.respond, response_confirmation.go). A final state passes and replaces any other response. Each other response carries its revision and the time before which the state service cannot have been in that state; it is read again if the state cache contradicts it or if that time is long ago. The limit is 50 ms plus the fastest recent write of any member, which members exchange (write_ms in the peer message); a relayed response carries the peer's time (ObservedAfter, ObservedRev). Nothing is read or waited for where no answer is late. Peers of an older build send neither field: their responses count from the sending of the relay, and the limit stays at 50 ms. The golden files of these forms are written anew for the added fields.

TestFailedConfirmingReadLeavesOutcomeToTheWrite expected 201 at once from a write whose answer is 0.2 s late. Late answers to writes count too: it now expects one read, and 201 after it.

--- a/internal/adminapi/metrics.go
+++ b/internal/adminapi/metrics.go
@@ -260,6 +260,7 @@
 		{"unheard", c.UndeliveredStarts},
 		{"started_by_copy", c.StartedByCopy},
 		{"over_allocation", c.OverAllocations},
+		{"late_response", c.LateResponses},
 	} {
 		s.counter(descEvents, event.count, event.name)
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -23,6 +23,7 @@
 	Teams            quota.UsageSnapshot  `msgpack:"teams"`
 	WithoutSummaries bool                 `msgpack:"brief,omitempty"`
 	Shards           []shardReport        `msgpack:"shards"`
+	FastestWriteMS   int64                `msgpack:"write_ms,omitempty"`
 }
 
 // shardReport is the part of a message for one of the sender's shards.
@@ -47,6 +48,7 @@
 		Teams:            msg.TeamUsage,
 		WithoutSummaries: msg.OmitsSummaries,
 		Shards:           make([]shardReport, len(msg.OwnedShards)),
+		FastestWriteMS:   msg.FastestWriteMS,
 	}
 	for i, s := range msg.OwnedShards {
 		out.Shards[i] = shardReport{
@@ -75,6 +77,7 @@
 		RolloutCounts:      in.Counts,
 		TeamUsage:          in.Teams,
 		OmitsSummaries:     in.WithoutSummaries,
+		FastestWriteMS:     in.FastestWriteMS,
 	}
 	for _, s := range in.Shards {
 		msg.OwnedShards = append(msg.OwnedShards, scheduler.PeerShard{
--- a/scheduler/counters.go
+++ b/scheduler/counters.go
@@ -10,6 +10,7 @@
 	RecoveryCounters
 	CommandCounters
 	LimitCounters
+	ConfirmationCounters
 }
 
 // PlacementCounters counts task starts and losses, shard claims, and provisioned and released machines.
@@ -69,3 +70,8 @@
 	// OverAllocations counts reports that showed more of a team in a shard than its allocation.
 	OverAllocations uint64 `json:"over_allocation"`
 }
+
+// ConfirmationCounters counts responses to users that may have been older than an earlier response.
+type ConfirmationCounters struct {
+	LateResponses uint64 `json:"late_responses"` // responses that a new read had to confirm
+}
--- a/scheduler/counters_test.go
+++ b/scheduler/counters_test.go
@@ -8,7 +8,8 @@
 		`"accepted":0,"finished":0,"preempted":0,"refused":0,"relayed":0,"read_batches":0,"shed":0,` +
 		`"adopted":0,"strays":0,"ceded":0,"in_doubt":0,"old_report":0,"confirmed":0,"unheard":0,` +
 		`"direct_executed":0,"direct_refused":0,"direct_unknown":0,"cleared":0,"cleared_stray":0,` +
-		`"raised_unanswered":0,"raised_ids":0,"raised_clears":0,"started_by_copy":0,"over_allocation":0}`
+		`"raised_unanswered":0,"raised_ids":0,"raised_clears":0,"started_by_copy":0,"over_allocation":0,` +
+		`"late_responses":0}`
 	if got := string(mustEncode(Counters{})); got != want {
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
--- a/scheduler/inputs_outputs.go
+++ b/scheduler/inputs_outputs.go
@@ -100,6 +100,8 @@
 	FailedKeys   []string // Conflict: keys whose preconditions failed
 	RetryAfterMS int64    // Throttled by the member's own rate limit: delay before a retry
 	QueuedMS     int64    // time that the request waited for that rate limit
+
+	notBeforeMS int64 // monotonic time; the service processed the request no earlier
 }
 
 // CloudOpKind is the kind of a request to the cloud.
@@ -238,7 +240,12 @@
 	// Fields for extensions, which are not returned to users.
 	FailureReason string `msgpack:"Failed"` // why the Controller cancelled the job
 	WorkflowRun   string `msgpack:"Run"`    // the workflow run that the job belongs to
+	// Fields of a response to a relayed request, for the member that relayed it: the least time in ms
+	// from the request to the observation of the state service, and the observed revision.
+	ObservedAfterMS  int64  `msgpack:"ObservedAfter"`
+	ObservedRevision uint64 `msgpack:"ObservedRev"`
 
+	observed        observation
 	retryableAtPeer bool // caused by this member's access to the state service: a peer may succeed
 }
 
@@ -279,6 +286,7 @@
 	TeamUsage          quota.UsageSnapshot  // used and requested resources in the sender's shards, by team
 	OmitsSummaries     bool                 // the message has no summaries; the last ones remain valid
 	OwnedShards        []PeerShard
+	FastestWriteMS     int64 // latency of the sender's fastest recent write to the state service, 0: not known
 }
 
 // WithoutSummaries returns a copy of the message without summaries, for peers that are not
--- a/scheduler/job_requests.go
+++ b/scheduler/job_requests.go
@@ -78,34 +78,44 @@
 	return response
 }
 
+// terminalRecord returns the record of the terminal state that a response contains.
+func (r *UserResponse) terminalRecord() terminalRecord {
+	return terminalRecord{State: r.State, Tasks: r.Done, FailureReason: r.FailureReason, WorkflowRun: r.WorkflowRun}
+}
+
 // readJob reads a job from the state service: first its live record, then its terminal
 // record. This is the order in which a job changes, so that the reads find one of them
 // whenever the job exists. readJob does not use the state cache, which may lag behind.
-// onResult receives the live record, or nil.
+// onResult receives the live record, or nil. A job without either record was not known at
+// the time of the first read, since a terminal record is never removed.
 func (rh *requestHandler) readJob(id string, urgency Urgency, onResult func(UserResponse, *KeyValue)) {
 	rh.store.sendStore(StoreOp{Kind: StoreGet, Urgency: urgency, Key: jobKey(id)}, func(result StoreResult) {
+		observed := observation{notBeforeMS: result.notBeforeMS, revision: result.Rev}
 		switch {
 		case result.Outcome == OK && len(result.KVs) == 1:
+			observed.revision = result.KVs[0].Rev
 			var rec jobRecord
 			if json.Unmarshal(result.KVs[0].Value, &rec) != nil {
 				// The job was accepted and has not ended, but its record cannot be decoded.
 				// If the response were 503, the user could not even cancel the job.
-				onResult(UserResponse{Status: 200, ID: id, State: Pending}, &result.KVs[0])
+				onResult(UserResponse{Status: 200, ID: id, State: Pending, observed: observed}, &result.KVs[0])
 				return
 			}
 			rh.cache.applyChange(result.KVs[0])
-			onResult(rh.liveJobResponse(id, &rec), &result.KVs[0])
+			onResult(rh.liveJobResponse(id, &rec, observed), &result.KVs[0])
 		case result.Outcome == NotFound:
-			rh.readTerminalState(id, urgency, func(response UserResponse) { onResult(response, nil) })
+			rh.readTerminalState(id, urgency, observed, func(response UserResponse) { onResult(response, nil) })
 		default:
 			onResult(unavailableResponse(id, storeUnavailableMessage), nil)
 		}
 	})
 }
 
-// readTerminalState reads the terminal state of a job that is not live, from the cache of
-// terminal states or from the state service.
-func (rh *requestHandler) readTerminalState(id string, urgency Urgency, onResult func(UserResponse)) {
+// readTerminalState reads the terminal state of a job that was observed not to be live, from
+// the cache of terminal states or from the state service.
+func (rh *requestHandler) readTerminalState(
+	id string, urgency Urgency, notLive observation, onResult func(UserResponse),
+) {
 	if final, ok := rh.terminalStates[id]; ok {
 		onResult(final.response(id))
 		return
@@ -121,7 +131,7 @@
 			rh.cacheTerminalState(id, final)
 			onResult(final.response(id))
 		case result.Outcome == NotFound:
-			onResult(UserResponse{Status: 404, ID: id, Error: "no such job"})
+			onResult(UserResponse{Status: 404, ID: id, Error: "no such job", observed: notLive})
 		default:
 			onResult(unavailableResponse(id, storeUnavailableMessage))
 		}
@@ -130,8 +140,14 @@
 
 // liveJobResponse returns the state of a live job, computed from its record and from the
 // progress last known to this member and last reported by its peers.
-func (rh *requestHandler) liveJobResponse(id string, rec *jobRecord) UserResponse {
-	response := UserResponse{Status: 200, ID: id, State: Pending, WorkflowRun: rec.Job.WorkflowRun}
+func (rh *requestHandler) liveJobResponse(id string, rec *jobRecord, observed observation) UserResponse {
+	response := UserResponse{
+		Status:      200,
+		ID:          id,
+		State:       Pending,
+		WorkflowRun: rec.Job.WorkflowRun,
+		observed:    observed,
+	}
 	response.Done = rec.Job.Tasks - rec.unfinishedTasks()
 	if j := rh.cache.jobs[id]; j != nil {
 		for _, tr := range j.taskRanges {
@@ -250,6 +266,7 @@
 	}
 	rh.readJob(id, UrgencyUser, func(known UserResponse, _ *KeyValue) {
 		if known.Status == 404 {
+			response.observed = known.observed
 			known = response
 		}
 		rh.completeRequest(replyID, known)
--- a/scheduler/late_store_answers_test.go
+++ b/scheduler/late_store_answers_test.go
@@ -11,15 +11,15 @@
 )
 
 // These tests cover late answers of the state service. Users submit, repeat the submission, poll and cancel at all
-// members at once, and requests overlap. Once a member has told a user that a job is accepted, done or cancelled, no
-// member may respond with anything older (review/8).
+// members at once, and requests overlap. After a response that a job is accepted, done or cancelled, no member may send
+// an older one (review/8).
 
 // lateAnswerSeeds is the number of seeds of each scenario. A run by hand can play more.
 var lateAnswerSeeds = flag.Uint64("late-answer-seeds", 24, "number of seeds with late answers of the state service")
 
 // Times of the scenario in milliseconds, and numbers of requests.
 const (
-	lateByMS           = 400 // by how much an answer is late
+	lateByMS           = 400 // delay of a late answer
 	lateAnswersUntilMS = 60_000
 	contestedJobs      = 24
 	contestIntervalMS  = 45
@@ -30,56 +30,56 @@
 // emulator's network takes at most 12 ms for each of their messages.
 var inFlightMS = access.RequestTimeout.Milliseconds() / 40
 
-// jobKnowledge is what a response says about a job. Higher values are newer.
+// jobKnowledge is the state of a job that a response reports. Higher values are newer.
 type jobKnowledge int
 
 const (
-	saysUnknown jobKnowledge = iota
-	saysAccepted
-	saysEnded
-	saysNothing
+	reportsUnknown jobKnowledge = iota
+	reportsAccepted
+	reportsEnded
+	reportsNothing
 )
 
 func knowledgeIn(response *scheduler.UserResponse) jobKnowledge {
 	switch response.Status {
 	case 200, 201:
 		if response.State.IsTerminal() {
-			return saysEnded
+			return reportsEnded
 		}
-		return saysAccepted
+		return reportsAccepted
 	case 400, 404, 422:
-		return saysUnknown
+		return reportsUnknown
 	}
-	return saysNothing
+	return reportsNothing
 }
 
 // responseOrder checks the responses of all members in the order in which they are sent.
 type responseOrder struct {
 	sim       *testSimulation
-	firstTold map[string]map[jobKnowledge]int64 // by job ID
+	firstSent map[string]map[jobKnowledge]int64 // keyed by job ID
 	responses map[jobKnowledge]int
 	older     []string // responses that were older than an earlier one
 }
 
 func (order *responseOrder) observe(response *scheduler.UserResponse) {
-	now, says := order.sim.Now, knowledgeIn(response)
-	order.responses[says]++
-	if says == saysNothing {
+	now, reported := order.sim.Now, knowledgeIn(response)
+	order.responses[reported]++
+	if reported == reportsNothing {
 		return
 	}
-	told := order.firstTold[response.ID]
-	if told == nil {
-		told = map[jobKnowledge]int64{}
-		order.firstTold[response.ID] = told
+	sentAt := order.firstSent[response.ID]
+	if sentAt == nil {
+		sentAt = map[jobKnowledge]int64{}
+		order.firstSent[response.ID] = sentAt
 	}
-	for newer := says + 1; newer <= saysEnded; newer++ {
-		if at, ok := told[newer]; ok && now-at > inFlightMS {
+	for newer := reported + 1; newer <= reportsEnded; newer++ {
+		if at, ok := sentAt[newer]; ok && now-at > inFlightMS {
 			order.older = append(order.older, fmt.Sprintf("%s at %d ms: status %d %s, %d ms after a newer response",
 				response.ID, now, response.Status, response.State, now-at))
 		}
 	}
-	if _, ok := told[says]; !ok {
-		told[says] = now
+	if _, ok := sentAt[reported]; !ok {
+		sentAt[reported] = now
 	}
 }
 
@@ -136,10 +136,10 @@
 	}
 }
 
-// playLateAnswers plays a scenario with a seed, and returns the responses and the number of late answers.
+// playLateAnswers plays a scenario with a seed. It returns the responses, and counts the answers that are late.
 func playLateAnswers(t *testing.T, scenario lateAnswerScenario, seed uint64) (order *responseOrder, lateAnswers int) {
 	t.Helper()
-	order = &responseOrder{firstTold: map[string]map[jobKnowledge]int64{}, responses: map[jobKnowledge]int{}}
+	order = &responseOrder{firstSent: map[string]map[jobKnowledge]int64{}, responses: map[jobKnowledge]int{}}
 	fault := emulator.InjectedFault{UserResponse: order.observe}
 	sim := newTestSimulation(9100+seed, fault, smallScale)
 	order.sim = sim
@@ -167,8 +167,8 @@
 	return order, lateAnswers
 }
 
-// No member responds with an older state of a job than any member has told a user, although answers of the state
-// service to reads and writes are late.
+// No member responds with an older state of a job than an earlier response of any member, although answers of the
+// state service to reads and writes are late.
 func TestLateStoreAnswersGiveNoOlderResponse(t *testing.T) {
 	for name, scenario := range lateAnswerScenarios {
 		t.Run(name, func(t *testing.T) {
@@ -177,8 +177,8 @@
 			for seed := range *lateAnswerSeeds {
 				order, late := playLateAnswers(t, scenario, seed)
 				lateAnswers += late
-				for says, count := range order.responses {
-					responses[says] += count
+				for reported, count := range order.responses {
+					responses[reported] += count
 				}
 				if len(order.older) > 0 {
 					t.Errorf("seed %d: %d responses older than earlier ones, the first: %s",
@@ -186,8 +186,9 @@
 				}
 			}
 			t.Logf("%d late answers; responses: %d unknown, %d accepted, %d ended, %d unavailable", lateAnswers,
-				responses[saysUnknown], responses[saysAccepted], responses[saysEnded], responses[saysNothing])
-			if lateAnswers == 0 || responses[saysUnknown] == 0 || responses[saysAccepted] == 0 || responses[saysEnded] == 0 {
+				responses[reportsUnknown], responses[reportsAccepted], responses[reportsEnded], responses[reportsNothing])
+			hasEachKind := responses[reportsUnknown] > 0 && responses[reportsAccepted] > 0 && responses[reportsEnded] > 0
+			if lateAnswers == 0 || !hasEachKind {
 				t.Errorf("%d late answers and responses %v, want some of each kind", lateAnswers, responses)
 			}
 		})
--- a/scheduler/peer_messages.go
+++ b/scheduler/peer_messages.go
@@ -39,6 +39,8 @@
 		ServesUsers:   pt.requests.canServeUsers(),
 		RolloutCounts: pt.rolloutCounts,
 		TeamUsage:     pt.quotas.usageSnapshot(),
+
+		FastestWriteMS: pt.store.recentWrites.fastestMS(),
 	}
 	if pt.store.hasAuthority() {
 		msg.OwnedShards = pt.reportOwnedShards()
--- a/scheduler/query_batches.go
+++ b/scheduler/query_batches.go
@@ -45,15 +45,16 @@
 	}
 	batches.batchInFlight = true
 	rh.Counters.QueryBatches++
-	rh.cache.syncNow(func(outcome Outcome) {
+	rh.cache.syncNow(func(result StoreResult) {
+		rh.completeBatch(batch, result) // queries that must be read again share the next batch
 		batches.batchInFlight = false
-		rh.completeBatch(batch, outcome)
 		rh.sendQueryBatch()
 	})
 }
 
-// completeBatch answers the queries of a batch whose read had this outcome.
-func (rh *requestHandler) completeBatch(batch []*pendingRequest, outcome Outcome) {
+// completeBatch answers the queries of a batch whose read had this result.
+func (rh *requestHandler) completeBatch(batch []*pendingRequest, result StoreResult) {
+	outcome := result.Outcome
 	switch {
 	case outcome == Gone || outcome == OK && !rh.store.storeAccess.IsSynced():
 		// The cache cannot answer queries until it is reloaded.
@@ -64,24 +65,25 @@
 		}
 	default:
 		for _, pending := range batch {
-			rh.completeFromCache(pending)
+			rh.completeFromCache(pending, observation{notBeforeMS: result.notBeforeMS, revision: result.Rev})
 		}
 	}
 }
 
 // completeFromCache answers a query from the cache, which is at least as recent as the
-// query. A job that is not live has ended or was never accepted.
-func (rh *requestHandler) completeFromCache(pending *pendingRequest) {
+// observation of the batch. A job that is not live has ended or was never accepted.
+func (rh *requestHandler) completeFromCache(pending *pendingRequest, observed observation) {
 	id := pending.request.ID
 	j := rh.cache.jobs[id]
 	switch {
 	case pending.completed: // a peer answered it
 	case j != nil:
-		rh.completeRequest(pending.replyID, rh.liveJobResponse(id, &j.rec))
+		observed.revision = rh.cache.keyRevisions[jobKey(id)]
+		rh.completeRequest(pending.replyID, rh.liveJobResponse(id, &j.rec, observed))
 	case rh.cache.keyRevisions[jobKey(id)] != 0: // its record cannot be decoded
 		rh.readJobsOneByOne([]*pendingRequest{pending})
 	default:
-		rh.readTerminalState(id, UrgencyRead, func(response UserResponse) {
+		rh.readTerminalState(id, UrgencyRead, observed, func(response UserResponse) {
 			rh.completeRequest(pending.replyID, response)
 		})
 	}
--- a/scheduler/response_age.go
+++ b/scheduler/response_age.go
@@ -21,7 +21,7 @@
 }
 
 // newResponseAgeLimits returns the limits for a service whose fastest recent write took
-// fastestWriteMS. Another member tells its users of a write only after the service's answer,
+// fastestWriteMS. Another member reports a write to a user only after the service's answer,
 // so an observation may be older by that time if the service is slow for every member.
 func newResponseAgeLimits(fastestWriteMS int64) responseAgeLimits {
 	timeoutMS := access.RequestTimeout.Milliseconds()
@@ -35,7 +35,7 @@
 // renewals of its lease.
 type recentWrites struct {
 	latenciesMS [writeLatencySamples]int64
-	count       int // of all writes so far
+	count       int // number of writes observed
 }
 
 // observe adds the latency of a write.
--- a/scheduler/response_confirmation.go
+++ b/scheduler/response_confirmation.go
@@ -1,17 +1,14 @@
 package scheduler
 
-// Once any member has told a user that a job is accepted, done or cancelled, no member may
-// respond with anything older. All responses to users pass through respond, which decides
-// this for each of them:
-//
-//	response                            sent if
-//	done, cancelled                     always: a final state never changes
-//	any other, and this member knows    never: the final state is sent instead
-//	  the final state
-//	accepted (200 or 201)               the state cache does not show that the job has ended
-//	not known (400, 404, 422)           the state cache does not show that the job was accepted
-//	  both: and the observation of the state service is not late
-//	no claim about the job (429, 503)   always
+// After a response of any member that a job is accepted, done or cancelled, no member may
+// send an older one. All responses to users pass through respond:
+//   - A response with a final state is sent. A final state never changes.
+//   - If this member knows the final state, it is sent in place of any other response.
+//   - A response that the job is accepted is sent unless the state cache shows that the job
+//     has ended, or the observation of the state service is late.
+//   - A response that the job is not known (400, 404, 422) is sent unless the state cache
+//     shows that the job was accepted, or the observation is late.
+//   - A response that reports no state (429, 503) is sent.
 //
 // A response that is not sent is confirmed by a new read, which usually returns in time.
 // After maxConfirmations the request fails with status 503, which a peer may avoid.
@@ -29,7 +26,7 @@
 	revision    uint64 // revision of the job's record, or of the service if it has none; 0: not known
 }
 
-// jobClaim is what a response says about a job. Higher claims are newer.
+// jobClaim is the state of a job that a response reports. Higher claims are newer.
 type jobClaim int
 
 const (
@@ -39,7 +36,7 @@
 	claimsEnded
 )
 
-// claim returns what a response says about the job.
+// claim returns the state of the job that a response reports.
 func (r *UserResponse) claim() jobClaim {
 	switch r.Status {
 	case 200, 201:
@@ -54,7 +51,7 @@
 }
 
 // respond sends a response to a user, or the final state if this member knows it. A response
-// that may be older than what a user was told is confirmed first.
+// that may be older than an earlier one is confirmed first.
 func (rh *requestHandler) respond(pending *pendingRequest, response UserResponse) {
 	id := pending.request.ID
 	if final, ended := rh.terminalStates[id]; ended && response.claim() != claimsEnded {
@@ -84,31 +81,25 @@
 	if claim != claimsAccepted && claim != claimsUnknown {
 		return false
 	}
-	if rh.cache.contradicts(pending.request.ID, claim, response.observed.revision) {
+	if rh.cacheContradicts(pending.request.ID, claim, response.observed.revision) {
 		return true
 	}
 	ageMS := rh.now.MonotonicMS - response.observed.notBeforeMS
 	if ageMS <= newResponseAgeLimits(0).confirmMS {
-		return false // the usual case: nothing is late
+		return false // the usual case
 	}
 	limits := newResponseAgeLimits(rh.peers.fastestWriteOfMembersMS())
 	canConfirm := pending.confirmations < maxConfirmations && !rh.store.isStoreUnreachable()
 	return ageMS > limits.maxMS || ageMS > limits.confirmMS && canConfirm
 }
 
-// contradicts reports whether the cache shows a newer state of a job than a claim at a revision.
-func (cache *stateCache) contradicts(id string, claim jobClaim, revision uint64) bool {
-	key := jobKey(id)
-	cachedRevision, cached := cache.keyRevisions[key]
+// cacheContradicts reports whether the state cache shows a newer state of a job than a claim
+// at a revision, which is 0 if it is not known.
+func (rh *requestHandler) cacheContradicts(id string, claim jobClaim, revision uint64) bool {
 	if claim == claimsUnknown {
-		return cached && cachedRevision > revision
-	}
-	if cached || revision == 0 {
-		return false
+		return rh.cache.keyRevisions[jobKey(id)] > revision
 	}
-	// The cache contains all changes up to appliedRevision, so the record was removed since.
-	wasRemoved := cache.store.storeAccess.IsSynced() && revision <= cache.appliedRevision
-	return wasRemoved || revision <= cache.tombstones[key]
+	return revision != 0 && rh.cache.wasRemovedSince(jobKey(id), revision)
 }
 
 // confirm repeats the reads of a request whose response may be too old, or lets a peer repeat
--- a/scheduler/response_confirmation_test.go
+++ b/scheduler/response_confirmation_test.go
@@ -74,7 +74,7 @@
 	return outputs.StoreOps
 }
 
-// answer answers all requests, including those that follow from the answers, each after delayMS.
+// answer answers all requests, and all further requests until none is sent, each after delayMS.
 func (s *answeringStore) answer(delayMS int64) {
 	for ops := s.take(); len(ops) > 0; ops = s.take() {
 		for _, op := range ops {
@@ -141,14 +141,14 @@
 	}
 }
 
-// lateAnswerPath is a request that is answered from an observation made before another member told a user
-// something newer.
+// lateAnswerPath is a request that is answered from an observation made before another member reported a newer
+// state to a user.
 type lateAnswerPath struct {
 	request    UserRequest
 	liveBefore bool // the job is live when the late observation is made
-	endedAfter bool // a user was told meanwhile that it is cancelled, otherwise that it is accepted
-	wantStatus int
-	wantState  JobState
+	endedAfter bool // a peer confirms a cancellation meanwhile, otherwise the acceptance
+	status     int
+	state      JobState
 }
 
 func rejectedSubmission() UserRequest {
@@ -156,9 +156,9 @@
 	return request
 }
 
-// An answer of the state service is late, and meanwhile another member tells a user of a newer state. The
+// An answer of the state service is late, and meanwhile another member reports a newer state to a user. The
 // response has the newer state, for each kind of request.
-func TestLateAnswerIsNotOlderThanWhatPeersTold(t *testing.T) {
+func TestLateAnswerIsNotOlderThanPeersResponse(t *testing.T) {
 	malformed := UserRequest{Kind: SubmitJob, ID: lateAnswerJob, Malformed: "no team"}
 	cancellation := UserRequest{Kind: CancelJob, ID: lateAnswerJob}
 	submission := newSubmission(1, "ops", Normal)
@@ -180,13 +180,13 @@
 			late := s.result(op)
 			s.live, s.ended = !path.endedAfter, path.endedAfter
 			s.completeLate(op, late)
-			s.expect(1, path.wantStatus, path.wantState)
+			s.expect(1, path.status, path.state)
 		})
 	}
 }
 
 // A repeated submission of a cached job reads the job's record. It is not answered "pending" if the read is
-// late and a user was told meanwhile that the job is cancelled.
+// late and a peer confirmed the cancellation meanwhile.
 func TestLateRepeatedSubmissionIsNotOlderThanCancellation(t *testing.T) {
 	s := newAnsweringStore(t)
 	s.live = true
@@ -389,6 +389,6 @@
 	}
 	usual, slow := newResponseAgeLimits(0), newResponseAgeLimits(slowMS)
 	if slow.confirmMS-usual.confirmMS != slowMS || slow.maxMS-usual.maxMS != slowMS || usual.maxMS >= lateMS {
-		t.Errorf("limits %+v, and %+v for a service that takes %d ms, want that much more", usual, slow, slowMS)
+		t.Errorf("limits %+v, and %+v for a service that takes %d ms, want the difference in latency", usual, slow, slowMS)
 	}
 }
--- a/scheduler/state_cache.go
+++ b/scheduler/state_cache.go
@@ -105,14 +105,20 @@
 
 // isStale reports whether a change is not newer than the cached state of its key.
 func (cache *stateCache) isStale(kv KeyValue) bool {
-	keyRevision, known := cache.keyRevisions[kv.Key]
-	if kv.Rev <= keyRevision || kv.Rev <= cache.tombstones[kv.Key] {
-		return true
+	// A read that was in flight during the removal of its key can return a record that was
+	// removed since. Applying it restarted a cancelled job.
+	return kv.Rev <= cache.keyRevisions[kv.Key] || cache.wasRemovedSince(kv.Key, kv.Rev)
+}
+
+// wasRemovedSince reports whether the record that a key had at a revision has been removed
+// and not been replaced. The cache contains all changes up to appliedRevision, so it knows
+// each key with such a revision that still exists.
+func (cache *stateCache) wasRemovedSince(key string, revision uint64) bool {
+	if _, known := cache.keyRevisions[key]; known {
+		return false
 	}
-	// The cache contains all changes up to appliedRevision, so an unknown key with an older
-	// revision has been removed since. A read that was in flight during the removal can
-	// return such a record. Applying it restarted a cancelled job.
-	return !known && cache.store.storeAccess.IsSynced() && kv.Rev <= cache.appliedRevision
+	isApplied := cache.store.storeAccess.IsSynced() && revision <= cache.appliedRevision
+	return isApplied || revision <= cache.tombstones[key]
 }
 
 // updateRevision records the revision of a change. It reports whether the change has an
@@ -260,14 +266,14 @@
 
 // syncNow updates the cache with every write that precedes the call, by a watch with zero
 // wait.
-func (cache *stateCache) syncNow(onResult func(Outcome)) {
+func (cache *stateCache) syncNow(onResult func(StoreResult)) {
 	cache.store.sendStore(
 		StoreOp{Kind: StoreWatch, Urgency: UrgencyRead, Key: livePrefix, Rev: cache.appliedRevision},
 		func(result StoreResult) {
 			if result.Outcome == OK && cache.store.storeAccess.IsSynced() {
 				cache.applyWatchResult(result)
 			}
-			onResult(result.Outcome)
+			onResult(result)
 		},
 	)
 }
--- a/scheduler/store_client.go
+++ b/scheduler/store_client.go
@@ -13,6 +13,7 @@
 	lastStoreLink  access.LinkState             // last logged value
 	hadAuthority   bool                         // last logged value
 	observeChange  func(KeyValue)               // receives each key state that a completed request returns
+	recentWrites   recentWrites
 }
 
 // authoritySlackMS is subtracted from the time for which a lease grants authority.
@@ -35,6 +36,7 @@
 func (sc *storeClient) sendStore(op StoreOp, onResult func(StoreResult)) {
 	sc.lastRequestID++
 	op.ID = sc.lastRequestID
+	onResult = sc.withNotBefore(onResult)
 	if sc.isDebugLogged() && (op.Kind == StoreGet || op.Kind == StoreList) {
 		onResult = sc.logRead(op, onResult)
 	}
@@ -49,15 +51,36 @@
 			onResult(r)
 		}
 	default:
-		ticket := sc.storeAccess.BeginRequest(sc.now.MonotonicMS)
+		sentAtMS := sc.now.MonotonicMS
+		ticket := sc.storeAccess.BeginRequest(sentAtMS)
 		sc.storeCallbacks[op.ID] = func(r StoreResult) {
 			sc.storeAccess.CompleteRequest(sc.now.MonotonicMS, ticket, r.QueuedMS, r.Outcome)
+			sc.observeWriteLatency(op.Kind, sentAtMS+r.QueuedMS, r.Outcome)
 			onResult(r)
 		}
 	}
 	sc.outputs.StoreOps = append(sc.outputs.StoreOps, op)
 }
 
+// withNotBefore returns a callback that adds to a result the time before which the service
+// cannot have processed the request.
+func (sc *storeClient) withNotBefore(onResult func(StoreResult)) func(StoreResult) {
+	sentAtMS := sc.now.MonotonicMS
+	return func(r StoreResult) {
+		r.notBeforeMS = sentAtMS + r.QueuedMS
+		onResult(r)
+	}
+}
+
+// observeWriteLatency records the latency of a write, counted from the time at which it left
+// the queue of this member's rate limit.
+func (sc *storeClient) observeWriteLatency(kind StoreOpKind, dequeuedAtMS int64, outcome Outcome) {
+	isWrite := kind == StoreTxn || kind == StoreGrantLease || kind == StoreRenewLease
+	if isWrite && outcome.ProcessedByService() {
+		sc.recentWrites.observe(sc.now.MonotonicMS - dequeuedAtMS)
+	}
+}
+
 // logRead returns a callback that logs the result of a read before it calls onResult.
 func (sc *storeClient) logRead(op StoreOp, onResult func(StoreResult)) func(StoreResult) {
 	sentAtMS := sc.now.MonotonicMS
--- a/scheduler/submission_test.go
+++ b/scheduler/submission_test.go
@@ -243,7 +243,8 @@
 	}
 }
 
-// A failed read of the record does not decide the response. The outcome of the write does.
+// A failed read of the record does not decide the response. The outcome of the write does, which is late: a new read
+// confirms it.
 func TestFailedConfirmingReadLeavesOutcomeToTheWrite(t *testing.T) {
 	for _, outcome := range []Outcome{Unknown, Refused, Throttled} {
 		ctrl, write, record := submitWithoutStoreResponse(t)
@@ -258,6 +259,11 @@
 			t.Fatalf("%v: response %+v, want none yet", outcome, resp)
 		}
 		ctrl.HandleStoreResult(ctrl.now, write.ID, StoreResult{Rev: 40})
+		outputs := ctrl.TakeOutputs()
+		if len(outputs.StoreOps) != 1 || outputs.StoreOps[0].Key != record.Key || len(outputs.UserResponses) > 0 {
+			t.Fatalf("%v: outputs %+v after the write, want one read of the record", outcome, outputs)
+		}
+		ctrl.HandleStoreResult(ctrl.now, outputs.StoreOps[0].ID, StoreResult{Rev: 41, KVs: []KeyValue{record}})
 		if resp := ctrl.TakeOutputs().UserResponses[1]; resp.Status != 201 {
 			t.Errorf("%v: response %+v, want 201", outcome, resp)
 		}
--- a/scheduler/submissions.go
+++ b/scheduler/submissions.go
@@ -222,7 +222,8 @@
 	switch result.Outcome {
 	case OK:
 		rh.Counters.Accepted++
-		rh.completeRequest(submission.replyID, UserResponse{Status: 201, ID: id, State: Pending})
+		written := observation{notBeforeMS: result.notBeforeMS, revision: result.Rev}
+		rh.completeRequest(submission.replyID, UserResponse{Status: 201, ID: id, State: Pending, observed: written})
 	case Conflict, Unknown:
 		if rh.pendingRequests[submission.replyID] == nil {
 			return // already answered from its record or by a peer
--- a/scheduler/user_request_relay.go
+++ b/scheduler/user_request_relay.go
@@ -3,7 +3,8 @@
 import "slices"
 
 // pendingRequest is a user request that has no response yet. This member, a peer, or both
-// handle it with the state service. The first result is the response.
+// handle it with the state service. The first result is the response. If it may be too old,
+// this member handles the request again (confirm).
 //
 //	event                                pendingLocally  awaitingPeer  response
 //	received                             true            false         -
@@ -18,12 +19,14 @@
 	request        UserRequest
 	receivedAtMS   int64         // monotonic time
 	pendingLocally bool          // this member is handling the request
-	relayed        bool          // sent to a peer; happens at most once
+	relayed        bool          // sent to a peer; happens at most once for each handling
 	awaitingPeer   bool          // a peer is handling the request
 	localFault     *UserResponse // the 503 response with which local handling ended
 	writeSent      bool          // the write of the submission was sent
 	readingRecord  bool          // the job's record is in the cache and is being read from the state service
 	completed      bool
+	confirmations  int           // reads that confirm a response
+	unconfirmed    *UserResponse // the first response that had to be confirmed
 }
 
 // Limits of hedged requests: requests that are relayed to a peer while this member is still
@@ -95,11 +98,18 @@
 			return
 		}
 	}
-	rh.sendUserResponse(pending, response)
+	rh.respond(pending, response)
 }
 
-// sendUserResponse adds a response to the outputs and completes the request.
+// sendUserResponse adds a response to the outputs and completes the request. Only respond calls it.
 func (rh *requestHandler) sendUserResponse(pending *pendingRequest, response UserResponse) {
+	if response.claim() == claimsEnded && pending.request.ID != "" {
+		rh.cacheTerminalState(pending.request.ID, response.terminalRecord())
+	}
+	if pending.request.Relayed {
+		response.ObservedAfterMS = max(0, response.observed.notBeforeMS-pending.receivedAtMS)
+		response.ObservedRevision = response.observed.revision
+	}
 	pending.completed = true
 	delete(rh.pendingRequests, pending.replyID)
 	if rh.outputs.UserResponses == nil {
@@ -131,7 +141,7 @@
 	rh.relayRoundRobin++
 	rh.lastRequestID++
 	pending.relayed, pending.awaitingPeer = true, true
-	rh.pendingRelays[rh.lastRequestID] = pendingRelay{pending, peer}
+	rh.pendingRelays[rh.lastRequestID] = pendingRelay{request: pending, peer: peer, sentAtMS: rh.now.MonotonicMS}
 	request := pending.request
 	request.Relayed = true
 	rh.outputs.Relays = append(rh.outputs.Relays, RelayRequest{rh.lastRequestID, peer, request})
@@ -141,8 +151,9 @@
 
 // pendingRelay is a relayed request that the peer has not answered yet.
 type pendingRelay struct {
-	request *pendingRequest
-	peer    string
+	request  *pendingRequest
+	peer     string
+	sentAtMS int64 // monotonic time
 }
 
 // HandleRelayResult processes a peer's response to the RelayRequest with this ID. ok is false
@@ -165,9 +176,13 @@
 	switch {
 	case pending.completed:
 	case ok && response.Status != 503:
-		c.requests.sendUserResponse(pending, response)
+		response.observed = observation{
+			notBeforeMS: relay.sentAtMS + response.ObservedAfterMS,
+			revision:    response.ObservedRevision,
+		}
+		c.requests.respond(pending, response)
 	case !pending.pendingLocally && pending.localFault != nil:
-		c.requests.sendUserResponse(pending, *pending.localFault)
+		c.requests.respond(pending, *pending.localFault)
 	}
 }
 
