--- a/cmd/grebedock/program_test.go
+++ b/cmd/grebedock/program_test.go
@@ -80,29 +80,31 @@
 	return out.String(), err
 }
 
+// newTestPlatform returns fakes of the platform with small machines, for members with these user addresses.
+func newTestPlatform(t testing.TB, userAddrs []string) *platformfake.Platform {
+	t.Helper()
+	smallMachine := scheduler.MachineType{
+		Name:           "small",
+		Resources:      availability.Resources{CPUs: 8, MemoryGB: 32, DiskGB: 20},
+		ImageFetchGBps: 1,
+		Price:          1,
+		SpotPrice:      0.3,
+		BootS:          1,
+		Zones:          []string{"a", "b"},
+	}
+	platform, err := platformfake.NewPlatform([]scheduler.MachineType{smallMachine}, 4*time.Second, userAddrs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform
+}
+
 // Two members of the real program serve users and operators. They run against fakes of the platform on
 // loopback.
 func TestProgramServesUsersAndOperators(t *testing.T) {
 	t.Setenv("LOG_LEVEL", "error")
 	userAddrs, peerAddrs := []string{freeAddr(t), freeAddr(t)}, []string{freeAddr(t), freeAddr(t)}
-	platform, err := platformfake.NewPlatform(
-		[]scheduler.MachineType{
-			{
-				Name:           "small",
-				Resources:      availability.Resources{CPUs: 8, MemoryGB: 32, DiskGB: 20},
-				ImageFetchGBps: 1,
-				Price:          1,
-				SpotPrice:      0.3,
-				BootS:          1,
-				Zones:          []string{"a", "b"},
-			},
-		},
-		4*time.Second,
-		userAddrs,
-	)
-	if err != nil {
-		t.Fatal(err)
-	}
+	platform := newTestPlatform(t, userAddrs)
 	defer platform.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
--- a/cmd/grebedock/stalling_clients_test.go
+++ b/cmd/grebedock/stalling_clients_test.go
@@ -15,10 +15,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/grebedock/grebedock/availability"
-	"github.com/grebedock/grebedock/internal/platformfake"
-	"github.com/grebedock/grebedock/scheduler"
 )
 
 // attackSockets is the number of sockets of an attacked member. It is small, so that an attack on all
@@ -29,24 +25,7 @@
 // user and peer API.
 func startMember(t testing.TB, sockets int, featuresText string) (userAddr, peerAddr string) {
 	userAddr, peerAddr = freeAddr(t), freeAddr(t)
-	platform, err := platformfake.NewPlatform(
-		[]scheduler.MachineType{
-			{
-				Name:           "small",
-				Resources:      availability.Resources{CPUs: 8, MemoryGB: 32, DiskGB: 20},
-				ImageFetchGBps: 1,
-				Price:          1,
-				SpotPrice:      0.3,
-				BootS:          1,
-				Zones:          []string{"a", "b"},
-			},
-		},
-		4*time.Second,
-		[]string{userAddr},
-	)
-	if err != nil {
-		t.Fatal(err)
-	}
+	platform := newTestPlatform(t, []string{userAddr})
 	text := fmt.Sprintf(
 		settingsText, "m-0", userAddr, peerAddr, "m-1", freeAddr(t), platform.CloudAddr, platform.StateAddr,
 	)
--- a/emulator/determinism_test.go
+++ b/emulator/determinism_test.go
@@ -8,8 +8,13 @@
 	"github.com/grebedock/grebedock/scheduler"
 )
 
-func runRandomScenario(seed uint64) *Simulation {
-	sim := New(Options{Seed: seed, Members: 3, CapacityPerOffering: 4, MessageLoss: 0.002,
+// smallClusterOptions returns the options of three members with machines of one type.
+func smallClusterOptions(seed uint64, bootS float64, capacity int) Options {
+	return Options{
+		Seed:                seed,
+		Members:             3,
+		CapacityPerOffering: capacity,
+		MessageLoss:         0.002,
 		Types: []scheduler.MachineType{
 			{
 				Name:           "small",
@@ -17,13 +22,11 @@
 				ImageFetchGBps: 1,
 				Price:          0.8,
 				SpotPrice:      0.2,
-				BootS:          8,
+				BootS:          bootS,
 				Zones:          []string{"a", "b"},
 			},
 		},
 		Params: scheduler.Params{
-			Teams:            map[string]scheduler.Team{"ops": {MaxCPUs: 96, CPUs: 32}},
-			Debug:            true,
 			MaxPendingRelays: 16,
 			StoreChangeRate:  20,
 			HeartbeatS:       0.8,
@@ -32,7 +35,16 @@
 			MaxValueBytes:    8192,
 			MaxTxnOps:        16,
 			CloudListLagS:    2,
-		}})
+		},
+	}
+}
+
+func runRandomScenario(seed uint64) *Simulation {
+	const bootS, capacity = 8, 4
+	options := smallClusterOptions(seed, bootS, capacity)
+	options.Params.Teams = map[string]scheduler.Team{"ops": {MaxCPUs: 96, CPUs: 32}}
+	options.Params.Debug = true
+	sim := New(options)
 	sim.TraceEnabled = true
 	for n := range 30 {
 		sim.After(500+sim.Rand.Int64N(40_000), func() {
--- a/emulator/protocol_faults_test.go
+++ b/emulator/protocol_faults_test.go
@@ -10,32 +10,12 @@
 
 // runWithFault runs a scenario with one fault that begins after 20 s, and with crashes of members.
 func runWithFault(seed uint64, inject func(*Simulation)) *Simulation {
-	sim := New(Options{Seed: seed, Members: 3, CapacityPerOffering: 6, MessageLoss: 0.002,
-		Types: []scheduler.MachineType{
-			{
-				Name:           "small",
-				Resources:      availability.Resources{CPUs: 16, MemoryGB: 64, DiskGB: 30},
-				ImageFetchGBps: 1,
-				Price:          0.8,
-				SpotPrice:      0.2,
-				BootS:          4,
-				Zones:          []string{"a", "b"},
-			},
-		},
-		Params: scheduler.Params{
-			Teams:            map[string]scheduler.Team{"ops": {}},
-			MaxPendingRelays: 16,
-			StoreChangeRate:  20,
-			Recovery:         true,
-			Quota:            true,
-			HeartbeatS:       0.8,
-			LeaseS:           6,
-			CancelWithinS:    20,
-			MaxValueBytes:    8192,
-			MaxTxnOps:        16,
-			CloudListLagS:    2,
-			Objectives:       map[string][]scheduler.Objective{"quick": {{Kind: "wait", WithinS: 3}}},
-		}})
+	const bootS, capacity = 4, 6
+	options := smallClusterOptions(seed, bootS, capacity)
+	options.Params.Teams = map[string]scheduler.Team{"ops": {}}
+	options.Params.Recovery, options.Params.Quota = true, true
+	options.Params.Objectives = map[string][]scheduler.Objective{"quick": {{Kind: "wait", WithinS: 3}}}
+	sim := New(options)
 	for n := range 60 {
 		sim.After(500+sim.Rand.Int64N(50_000), func() {
 			sim.Submit(
--- a/scheduler/late_store_answers_test.go
+++ b/scheduler/late_store_answers_test.go
@@ -185,10 +185,10 @@
 						seed, len(order.older), order.older[0])
 				}
 			}
-			t.Logf("%d late answers; responses: %d unknown, %d accepted, %d ended, %d unavailable", lateAnswers,
-				responses[reportsUnknown], responses[reportsAccepted], responses[reportsEnded], responses[reportsNothing])
-			hasEachKind := responses[reportsUnknown] > 0 && responses[reportsAccepted] > 0 && responses[reportsEnded] > 0
-			if lateAnswers == 0 || !hasEachKind {
+			unknown, accepted, ended := responses[reportsUnknown], responses[reportsAccepted], responses[reportsEnded]
+			t.Logf("%d late answers; responses: %d unknown, %d accepted, %d ended, %d unavailable",
+				lateAnswers, unknown, accepted, ended, responses[reportsNothing])
+			if lateAnswers == 0 || unknown == 0 || accepted == 0 || ended == 0 {
 				t.Errorf("%d late answers and responses %v, want some of each kind", lateAnswers, responses)
 			}
 		})
--- a/scheduler/response_confirmation_test.go
+++ b/scheduler/response_confirmation_test.go
@@ -389,6 +389,6 @@
 	}
 	usual, slow := newResponseAgeLimits(0), newResponseAgeLimits(slowMS)
 	if slow.confirmMS-usual.confirmMS != slowMS || slow.maxMS-usual.maxMS != slowMS || usual.maxMS >= lateMS {
-		t.Errorf("limits %+v, and %+v for a service that takes %d ms, want the difference in latency", usual, slow, slowMS)
+		t.Errorf("limits %+v, and %+v with writes of %d ms; want the difference in latency", usual, slow, slowMS)
 	}
 }
