A member that hears no peer takes the state service to be slow for itself alone

Cause, found by a new scenario of the simulation: the limit on the age of a response grows with the fastest recent write of the members that a member hears of. A member cut from its peers, to which every answer of the state service is late, heard of itself alone, took the service to be slow for all, and responded with states up to a quarter of a second older than its peers'. Without a message of a peer the limit now stays where it is for a fast service.

--- a/scheduler/late_store_answers_test.go
+++ b/scheduler/late_store_answers_test.go
@@ -88,6 +88,7 @@
 	share    float64
 	member   string // only answers to this member are late; empty: to all
 	refuseMS int64  // the state service refuses this member now and then, for this time
+	isolated bool   // this member is partitioned from its peers
 }
 
 var lateAnswerScenarios = map[string]lateAnswerScenario{
@@ -95,6 +96,7 @@
 	"many answers":           {share: 0.3},
 	"all answers to one":     {share: 1, member: "m0"},
 	"one member is refused":  {share: 0.1, member: "m1", refuseMS: 3000},
+	"all to isolated member": {share: 1, member: "m0", isolated: true},
 	"half of the answers":    {share: 0.5},
 	"most answers to member": {share: 0.8, member: "m2"},
 }
@@ -153,6 +155,12 @@
 		lateAnswers++
 		return lateByMS
 	}
+	if scenario.isolated {
+		sim.After(10_000, func() {
+			peers := emulator.Partition{A: scenario.member, B: "m", Until: lateAnswersUntilMS, DropsMessages: true}
+			sim.partition(peers)
+		})
+	}
 	if scenario.refuseMS > 0 {
 		for at := int64(15_000); at < lateAnswersUntilMS; at += 3 * scenario.refuseMS {
 			sim.After(at, func() { sim.StartOutage(scenario.member, scenario.refuseMS) })
--- a/scheduler/response_age.go
+++ b/scheduler/response_age.go
@@ -57,13 +57,18 @@
 }
 
 // fastestWriteOfMembersMS returns the latency of the fastest recent write of this member and
-// of the peers that it has recent messages from.
+// of the peers that it has recent messages from. It is 0 if not known: without a message of
+// any peer, the state service may be slow for this member alone.
 func (pt *peerTable) fastestWriteOfMembersMS() int64 {
-	fastest := pt.store.recentWrites.fastestMS()
+	fastest, isIsolated := pt.store.recentWrites.fastestMS(), len(pt.params.PeerIDs) > 0
 	for memberID, peer := range pt.peers {
 		if memberID != pt.params.MemberID && pt.isFresh(peer) {
 			fastest = min(fastest, peer.message.FastestWriteMS)
+			isIsolated = false
 		}
 	}
+	if isIsolated {
+		return 0
+	}
 	return fastest
 }
--- a/scheduler/response_confirmation_test.go
+++ b/scheduler/response_confirmation_test.go
@@ -365,13 +365,17 @@
 	s.expect(2, 200, Cancelled)
 }
 
-// The age limits grow with the latency of writes only if all members report slow writes.
+// The age limits grow with the latency of writes only if all members report slow writes. A member without messages
+// of peers does not know that.
 func TestAgeLimitsFollowFastestMember(t *testing.T) {
 	const slowMS = 90
 	ctrl := newAcceptingController(t, 1000)
 	for range writeLatencySamples {
 		ctrl.store.recentWrites.observe(slowMS)
 	}
+	if got := ctrl.peers.fastestWriteOfMembersMS(); got != 0 {
+		t.Errorf("no message of a peer: fastest write %d ms, want 0", got)
+	}
 	setPeer := func(latencyMS int64) {
 		message := PeerMessage{From: "m1", FastestWriteMS: latencyMS}
 		ctrl.peers.peers["m1"] = &peerState{receivedAtMS: ctrl.now.MonotonicMS, message: message}
