Seeds of the team limit scenarios are tests of their own; one that breaks a limit is listed

Trace of seed 12: m1 restarts with the limit halved from 96 to 48 CPUs, reads its allocation of 32 as 16, and warns that its shard uses 32. Its next write of the team's record has 16 for itself (52.657 s). m2, with the earlier limit, takes the rest up to 96 (80, at 52.829 s). 100 CPUs run at 53.029 s.

A scenario's seeds are subtests, so that one can be named; what a run does is unchanged.

--- a/scheduler/quota_faults_test.go
+++ b/scheduler/quota_faults_test.go
@@ -20,6 +20,7 @@
 	jobs      int
 	adjustJob func(sim *testSimulation, j *scheduler.Job, n int) // changes the nth job, whose team is already set
 	inject    func(sim *testSimulation) outcomeCheck
+	alsoSeeds []uint64 // seeds beyond the first ones that have broken an invariant
 }
 
 func equalTeams(n int, t scheduler.Team) map[string]scheduler.Team {
@@ -123,6 +124,7 @@
 			}
 			return nil
 		},
+		alsoSeeds: []uint64{12},
 	},
 	"crash of all members with every allocation transferred": {
 		members: 5,
@@ -204,8 +206,9 @@
 	},
 }
 
-func TestTeamLimitsSurviveFailures(t *testing.T) {
-	types := append(slices.Clone(simTypes), scheduler.MachineType{
+// acceleratedMachineType returns a machine type with GPUs.
+func acceleratedMachineType() scheduler.MachineType {
+	return scheduler.MachineType{
 		Name:           "accelerated",
 		Resources:      availability.Resources{CPUs: 16, GPUs: 4, MemoryGB: 64, DiskGB: 30},
 		ImageFetchGBps: 1,
@@ -213,60 +216,67 @@
 		SpotPrice:      1,
 		BootS:          10,
 		Zones:          []string{"a", "b"},
-	})
-	taskRunMS := taskRunsFor(2000, 15_000)
+	}
+}
+
+func TestTeamLimitsSurviveFailures(t *testing.T) {
 	for name, scenario := range quotaScenarios {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(2) {
-				sim := &testSimulation{
-					size:                  simScale{members: scenario.members, capacityPerOffering: 6, maxTasks: 16},
-					noRandomFaults:        true,
-					startsWithLowerLimits: map[string]bool{},
-				}
-				cfg := newParams(96)
-				cfg.Teams = scenario.teams
-				options := emulator.Options{
-					Seed:                4000 + seed,
-					Members:             scenario.members,
-					Types:               types,
-					CapacityPerOffering: 6,
-					Params:              cfg,
-					MessageLoss:         0.002,
-					TaskRunMS:           taskRunMS,
-				}
-				options.InjectedFault.Params = func(cfg *scheduler.Params) {
-					if sim.startsWithLowerLimits[cfg.MemberID] {
-						cfg.Teams = map[string]scheduler.Team{}
-						for teamName, t := range scenario.teams {
-							cfg.Teams[teamName] = scheduler.Team{CPUs: t.CPUs, MaxCPUs: t.MaxCPUs / 2}
-						}
-						sim.UpdatedTeams = cfg.Teams
-					}
-				}
-				sim.Simulation = emulator.New(options)
-				var checkOutcome outcomeCheck
-				if scenario.inject != nil {
-					checkOutcome = scenario.inject(sim)
-				}
-				teamNames := slices.Sorted(maps.Keys(scenario.teams))
-				sim.adjustJob = func(j *scheduler.Job, n int) {
-					j.Team = teamNames[n%len(teamNames)]
-					j.OneZone, j.Spread, j.Zone, j.MaxTaskErrors = false, false, "", 0
-					if scenario.adjustJob != nil {
-						scenario.adjustJob(sim, j, n)
-					}
-				}
-				sim.runScenario(110_000, 900_000, scenario.jobs)
-				sim.checkInvariants(t)
-				if checkOutcome != nil {
-					checkOutcome(t, sim)
-				}
+			for _, seed := range append([]uint64{0, 1}, scenario.alsoSeeds...) {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) { scenario.play(t, seed) })
 			}
 		})
 	}
 }
 
+// play runs the scenario with a seed and checks the invariants and its outcome.
+func (scenario *quotaScenario) play(t *testing.T, seed uint64) {
+	sim := &testSimulation{
+		size:                  simScale{members: scenario.members, capacityPerOffering: 6, maxTasks: 16},
+		noRandomFaults:        true,
+		startsWithLowerLimits: map[string]bool{},
+	}
+	cfg := newParams(96)
+	cfg.Teams = scenario.teams
+	options := emulator.Options{
+		Seed:                4000 + seed,
+		Members:             scenario.members,
+		Types:               append(slices.Clone(simTypes), acceleratedMachineType()),
+		CapacityPerOffering: 6,
+		Params:              cfg,
+		MessageLoss:         0.002,
+		TaskRunMS:           taskRunsFor(2000, 15_000),
+	}
+	options.InjectedFault.Params = func(cfg *scheduler.Params) {
+		if sim.startsWithLowerLimits[cfg.MemberID] {
+			cfg.Teams = map[string]scheduler.Team{}
+			for teamName, t := range scenario.teams {
+				cfg.Teams[teamName] = scheduler.Team{CPUs: t.CPUs, MaxCPUs: t.MaxCPUs / 2}
+			}
+			sim.UpdatedTeams = cfg.Teams
+		}
+	}
+	sim.Simulation = emulator.New(options)
+	var checkOutcome outcomeCheck
+	if scenario.inject != nil {
+		checkOutcome = scenario.inject(sim)
+	}
+	teamNames := slices.Sorted(maps.Keys(scenario.teams))
+	sim.adjustJob = func(j *scheduler.Job, n int) {
+		j.Team = teamNames[n%len(teamNames)]
+		j.OneZone, j.Spread, j.Zone, j.MaxTaskErrors = false, false, "", 0
+		if scenario.adjustJob != nil {
+			scenario.adjustJob(sim, j, n)
+		}
+	}
+	sim.runScenario(110_000, 900_000, scenario.jobs)
+	sim.checkInvariants(t)
+	if checkOutcome != nil {
+		checkOutcome(t, sim)
+	}
+}
+
 // Several members stop tasks for guarantees at the same time, while peers are partitioned, slow or
 // crashed. No team is left below its guarantee, as counted on the machines. Tasks that ended within the
 // last 5 s count as running, because other members may not know of their end yet.
